Measure a fleet under a seeded workload

Cause: no figure stood behind the design yet. Change: load command, five scenarios, two baselines, HTML report; streams live until closed, not until their first request ends; the next statement of an open transaction bypasses the slots; connections go back when the home moves. Found by the first runs: (1) transactions died after BEGIN, since their stream hung on the context of the first request; (2) two statements that waited for a transaction's lock held both slots, and the transaction could not go on until the 10 s timeout; (3) a daemon that had been home kept idle connections, and the new home met 'too many connections' for as long. Conclusion: all three causes were in the code, not in the workload.

--- /dev/null
+++ b/cmd/load.go
@@ -0,0 +1,118 @@
+package cmd
+
+import (
+	"encoding/json"
+	"fmt"
+	"os"
+	"strings"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/spf13/cobra"
+
+	"banyanspring/io/fleet"
+	"banyanspring/io/load"
+)
+
+// loadFlags are the flags of the load command.
+type loadFlags struct {
+	scenario, policy, baseline, users string
+	seed                              uint64
+	length                            time.Duration
+	workers, daemons                  int
+	jsonFile, reportDir               string
+}
+
+func newLoad() *cobra.Command {
+	var fl loadFlags
+	cm := &cobra.Command{
+		Use:   "load",
+		Short: "Measure a fleet under a seeded workload and faults",
+		Long:  loadHelp(),
+		Example: `  banyanspring load --scenario steady --for 10s --baseline primary_only
+  banyanspring load --scenario drain --seed 7 --json out/drain.json --report out`,
+		Args: cobra.NoArgs,
+		RunE: func(cm *cobra.Command, _ []string) error { return runLoad(cm, fl) },
+	}
+	fs := cm.Flags()
+	fs.StringVar(&fl.scenario, "scenario", "steady", "what happens")
+	fs.StringVar(&fl.policy, "policy", "default", "how requests are treated")
+	fs.StringVar(&fl.baseline, "baseline", "", "a policy to run the same scenario with, for comparison")
+	fs.StringVar(&fl.users, "users", "qalam", "whose places and sizes: qalam or fjordkjemi")
+	fs.Uint64Var(&fl.seed, "seed", 1, "seed of the workload")
+	fs.DurationVar(&fl.length, "for", 10*time.Second, "how long callers send requests")
+	fs.IntVar(&fl.workers, "workers", 4, "sessions of each caller")
+	fs.IntVar(&fl.daemons, "daemons-per-domain", 2, "daemons in each failure domain")
+	fs.StringVar(&fl.jsonFile, "json", "", "file for the result; standard output if empty")
+	fs.StringVar(&fl.reportDir, "report", "", "directory for an HTML page with plots")
+	return cm
+}
+
+func loadHelp() string {
+	var text strings.Builder
+	text.WriteString("Run an embedded fleet under real Postgres callers, check what they were promised,\nand print one JSON object.\n\nScenarios:\n")
+	for _, sc := range load.Scenarios() {
+		fmt.Fprintf(&text, "  %-14s %s\n", sc.Name, sc.Text)
+	}
+	text.WriteString("\nPolicies:\n")
+	for _, po := range load.Policies() {
+		fmt.Fprintf(&text, "  %-14s %s\n", po.Name, po.Text)
+	}
+	return text.String()
+}
+
+// errViolation says that a promise was broken in the run.
+var errViolation = errors.New("a promise was broken; see the counters")
+
+func runLoad(cm *cobra.Command, fl loadFlags) error {
+	re, err := load.Execute(cm.Context(), fl.options(fl.policy))
+	if err != nil {
+		return err
+	}
+	if fl.baseline != "" {
+		if re.Baseline, err = load.Execute(cm.Context(), fl.options(fl.baseline)); err != nil {
+			return err
+		}
+	}
+	if fl.reportDir != "" {
+		if err := load.WriteReport(fl.reportDir, re); err != nil {
+			return err
+		}
+	}
+	if err := writeResult(cm, fl.jsonFile, re); err != nil {
+		return err
+	}
+	if re.Violations() > 0 {
+		return errViolation
+	}
+	return nil
+}
+
+func (fl loadFlags) options(policy string) load.Options {
+	opts := fleet.QalamBirligi()
+	if fl.users == "fjordkjemi" {
+		opts = fleet.Fjordkjemi()
+	}
+	opts.DaemonsPerPlace = fl.daemons
+	return load.Options{
+		Scenario: fl.scenario,
+		Policy:   policy,
+		Seed:     fl.seed,
+		Length:   fl.length,
+		Workers:  fl.workers,
+		Fleet:    opts,
+	}
+}
+
+func writeResult(cm *cobra.Command, path string, re *load.Result) error {
+	raw, err := json.MarshalIndent(re, "", "  ")
+	if err != nil {
+		return err
+	}
+	raw = append(raw, '\n')
+	if path == "" {
+		_, err = cm.OutOrStdout().Write(raw)
+		return err
+	}
+	return os.WriteFile(path, raw, 0o600)
+}
--- a/cmd/root.go
+++ b/cmd/root.go
@@ -63,6 +63,7 @@
 		newDocument(),
 		newStatus(),
 		newDemo(),
+		newLoad(),
 		newStandin(),
 	)
 	return root
--- a/core/admit/admit.go
+++ b/core/admit/admit.go
@@ -27,6 +27,10 @@
 	Weight uint32
 	// Limit bounds the items that the caller may have waiting; at least 1.
 	Limit int
+	// Urgent items are granted at once, over the number of slots if need be:
+	// the next statement of an open transaction may hold locks that the
+	// statements in the slots wait for.
+	Urgent bool
 	// Deadline is when the item is of no more use.
 	Deadline time.Time
 }
@@ -57,7 +61,7 @@
 type Queue struct {
 	limits Limits
 	lanes  map[string]*lane
-	// running never exceeds limits.Slots.
+	// running exceeds limits.Slots only by urgent items.
 	running int
 	// total is the sum of the lengths of all lanes and at most limits.Total.
 	total int
@@ -92,6 +96,11 @@
 // refused, and nil if the item waits.
 func (qu *Queue) Offer(now time.Time, it Item) *Decision {
 	ln := qu.laneFor(it.Caller)
+	if it.Urgent {
+		ln.finish = max(qu.virtual, ln.finish) + 1/float64(max(it.Weight, minWeight))
+		qu.grant(ln, qu.virtual)
+		return &Decision{ID: it.ID}
+	}
 	if ref := qu.refuse(now, it, ln); ref != nil {
 		qu.forget(it.Caller, ln)
 		return &Decision{ID: it.ID, Refusal: ref}
--- a/io/daemon/host.go
+++ b/io/daemon/host.go
@@ -4,7 +4,6 @@
 
 import (
 	"context"
-	"crypto/tls"
 	"log/slog"
 	"net"
 	"net/http"
@@ -20,6 +19,7 @@
 	"banyanspring/core/life"
 	"banyanspring/core/place"
 	"banyanspring/core/posn"
+	"banyanspring/core/route"
 	"banyanspring/io/front"
 	"banyanspring/io/home"
 	"banyanspring/io/metric"
@@ -37,6 +37,15 @@
 	DialPeer func(ctx context.Context, address string) (net.Conn, error)
 	// PlatformTransport carries calls to the platform.
 	PlatformTransport http.RoundTripper
+	// RouteReads orders the upstreams for a read; it is route.Reads but in
+	// baselines.
+	RouteReads func(ups []route.Upstream, rq route.Request, now time.Time) []route.Upstream
+	// PoolEverywhere makes every daemon home of every upstream; it is a
+	// baseline. Share then divides the upstream's connections.
+	PoolEverywhere bool
+	// Share divides the connections of each upstream between daemons; at
+	// least 1.
+	Share int
 	// WrapCaller wraps a connection that a caller opened; nil leaves it.
 	WrapCaller func(nc net.Conn) net.Conn
 }
@@ -48,6 +57,8 @@
 		DialUpstream:      home.DialTCP,
 		DialPeer:          home.DialTCP,
 		PlatformTransport: http.DefaultTransport,
+		RouteReads:        route.Reads,
+		Share:             1,
 	}
 }
 
@@ -71,7 +82,6 @@
 	floors  *floorAskers
 	front   *front.Front
 	server  *peer.Server
-	tls     *tls.Config
 
 	peerListener   net.Listener
 	callerListener net.Listener
@@ -166,6 +176,10 @@
 // StoreCalls returns how many calls the daemon made to the platform.
 func (ho *Host) StoreCalls() int64 { return ho.store.Calls() }
 
+// Reads returns how many reads replicas and primaries have served through this
+// daemon's entry.
+func (ho *Host) Reads() (replica, primary int64) { return ho.front.Reads() }
+
 // Sessions returns how many caller sessions are open.
 func (ho *Host) Sessions() int { return ho.front.Sessions() }
 
@@ -182,6 +196,9 @@
 
 // homeOf returns the daemon that is home of an upstream.
 func (ho *Host) homeOf(mem store.Member) place.Member {
+	if ho.seams.PoolEverywhere {
+		return ho.self()
+	}
 	at := place.Site{Domain: mem.Domain, Region: mem.Region}
 	got, ok := ho.members.View(ho.seams.Now()).Home(mem.Name, at)
 	if !ok {
@@ -194,12 +211,12 @@
 func (ho *Host) isSelf(mem place.Member) bool { return mem.ID == ho.Settings.Daemon.ID }
 
 // run opens a stream to the home of an upstream.
-func (ho *Host) run(ctx context.Context, mem store.Member) (peer.Stream, error) {
+func (ho *Host) run(mem store.Member) (peer.Stream, error) {
 	got := ho.homeOf(mem)
 	if ho.isSelf(got) {
-		return peer.Local(ctx, ho.homes), nil
+		return peer.Local(ho.homes), nil
 	}
-	return ho.client.Run(ctx, got)
+	return ho.client.Run(got)
 }
 
 // primaryOf returns the member that leads the group as far as is known.
--- a/io/daemon/plugins.go
+++ b/io/daemon/plugins.go
@@ -121,7 +121,7 @@
 	ho.homes = home.New(ho.Settings.Home, ho.Log, ho.seams.Now, ho.seams.DialUpstream, ho.groups.Get, home.Peers{
 		AwaitPosition: ho.awaitPosition,
 		ConfirmFloor:  ho.confirmFloor,
-	})
+	}, ho.seams.Share)
 	ho.floors = &floorAskers{ho: ho, askers: make(map[string]*batch.Asker[posn.Position])}
 	ho.server = peer.NewServer(creds, peer.Handlers{
 		Homes:  ho.homes,
@@ -136,12 +136,13 @@
 	return nil
 }
 
-// trimEvery is the time between two looks for idle upstream connections.
-const trimEvery = 10 * time.Second
+// trimEvery is the time between two looks for upstream connections to give
+// back.
+const trimEvery = 250 * time.Millisecond
 
 func (ho *Host) trim() {
 	for pause(ho.background, trimEvery) {
-		ho.homes.Trim()
+		ho.homes.Trim(func(mem store.Member) bool { return ho.isSelf(ho.homeOf(mem)) })
 	}
 }
 
@@ -169,6 +170,7 @@
 		Floor:    ho.floors.ask,
 		Forward:  ho.forwardCancel,
 		Avoid:    ho.avoid,
+		Reads:    ho.seams.RouteReads,
 	}, ho.metrics, tlsConfig)
 	if err != nil {
 		return err
--- a/io/fleet/fleet.go
+++ b/io/fleet/fleet.go
@@ -52,6 +52,8 @@
 	DomainLatency, RegionLatency, CallerLatency time.Duration
 	// Document edits the document before it is stored; it may be nil.
 	Document func(*docum.Document)
+	// Seams edits the seams of each daemon; it may be nil.
+	Seams func(*daemon.Seams)
 	// Settings edits the settings of each daemon; it may be nil.
 	Settings func(*conf.Settings)
 	Log      *slog.Logger
@@ -107,6 +109,8 @@
 
 	mu      sync.Mutex
 	daemons []*daemon.Host
+	// every holds all daemons that were ever started.
+	every []*daemon.Host
 	// places maps addresses to the places that they stand in.
 	places map[string]Place
 	paths  map[[2]string]*link.Path
@@ -153,7 +157,8 @@
 // DatabaseName returns the name of a database by its number.
 func DatabaseName(database int) string { return fmt.Sprintf("db%d", database+1) }
 
-func groupName(service, database int) string {
+// GroupName returns the name of a database's group.
+func GroupName(service, database int) string {
 	return ServiceName(service) + "-" + DatabaseName(database)
 }
 
@@ -169,7 +174,7 @@
 func (fl *Fleet) startUpstreams(ctx context.Context) error {
 	for se := range fl.opts.Services {
 		for db := range fl.opts.DatabasesPerService {
-			if err := fl.startGroup(ctx, groupName(se, db)); err != nil {
+			if err := fl.startGroup(ctx, GroupName(se, db)); err != nil {
 				return err
 			}
 		}
@@ -247,7 +252,7 @@
 			},
 		}
 		for db := range fl.opts.DatabasesPerService {
-			sv.Databases = append(sv.Databases, docum.Database{Name: DatabaseName(db), Group: groupName(se, db)})
+			sv.Databases = append(sv.Databases, docum.Database{Name: DatabaseName(db), Group: GroupName(se, db)})
 		}
 		for _, name := range fl.opts.Callers {
 			sv.Callers = append(sv.Callers, docum.Caller{Name: name, Verifier: verifier, Weight: 1})
@@ -293,6 +298,7 @@
 	fl.setPlace(ho.PeerAddress(), pl)
 	fl.mu.Lock()
 	fl.daemons = append(fl.daemons, ho)
+	fl.every = append(fl.every, ho)
 	fl.mu.Unlock()
 	return ho, nil
 }
@@ -330,13 +336,15 @@
 		MaxIdleConnsPerHost: 16,
 	}
 	callers := link.NewPath(fl.opts.CallerLatency)
-	return daemon.Seams{
-		Now:               time.Now,
-		DialUpstream:      dial,
-		DialPeer:          dial,
-		PlatformTransport: transport,
-		WrapCaller:        func(nc net.Conn) net.Conn { return link.Wrap(nc, callers) },
-	}
+	seams := daemon.RealSeams()
+	seams.DialUpstream = dial
+	seams.DialPeer = dial
+	seams.PlatformTransport = transport
+	seams.WrapCaller = func(nc net.Conn) net.Conn { return link.Wrap(nc, callers) }
+	if fl.opts.Seams != nil {
+		fl.opts.Seams(&seams)
+	}
+	return seams
 }
 
 // dial opens a connection from a place with the latency of the way.
@@ -392,6 +400,18 @@
 	return append([]*daemon.Host(nil), fl.daemons...)
 }
 
+// EveryDaemon returns all daemons that were ever started.
+func (fl *Fleet) EveryDaemon() []*daemon.Host {
+	fl.mu.Lock()
+	defer fl.mu.Unlock()
+	return append([]*daemon.Host(nil), fl.every...)
+}
+
+// PlaceOf returns where a daemon stands.
+func (fl *Fleet) PlaceOf(ho *daemon.Host) Place {
+	return Place{Domain: ho.Settings.Daemon.Domain, Region: ho.Settings.Daemon.Region}
+}
+
 // Remove forgets a daemon that was stopped.
 func (fl *Fleet) Remove(ho *daemon.Host) {
 	fl.mu.Lock()
--- a/io/front/front.go
+++ b/io/front/front.go
@@ -21,6 +21,7 @@
 	"banyanspring/core/place"
 	"banyanspring/core/posn"
 	"banyanspring/core/retry"
+	"banyanspring/core/route"
 	"banyanspring/io/metric"
 	"banyanspring/io/peer"
 	"banyanspring/io/store"
@@ -33,13 +34,15 @@
 	Document func() *adopt.Snapshot
 	// Group returns a database group as the platform last described it.
 	Group func(name string) (store.Group, bool)
-	// Run opens a stream to the home of an upstream.
-	Run func(ctx context.Context, mem store.Member) (peer.Stream, error)
+	// Run opens a stream to the home of an upstream; it lives until closed.
+	Run func(mem store.Member) (peer.Stream, error)
 	// Floor returns a confirmed position of a group that was asked for after
 	// the call, and when.
 	Floor func(ctx context.Context, gr store.Group) (posn.Position, time.Time, error)
 	// Forward passes a cancel request on to other daemons.
 	Forward func(ctx context.Context, pid, secret uint32)
+	// Reads orders the upstreams for a read.
+	Reads func(ups []route.Upstream, rq route.Request, now time.Time) []route.Upstream
 	// Avoid notes that the home of an upstream failed or is leaving.
 	Avoid func(mem store.Member)
 }
@@ -60,7 +63,8 @@
 	// pidPrefix marks the cancel keys of this daemon.
 	pidPrefix uint32
 	nextPID   atomic.Uint32
-	open      atomic.Int64
+	// replicaReads and primaryReads count the reads served.
+	replicaReads, primaryReads atomic.Int64
 
 	mu       sync.Mutex
 	sessions map[uint32]*session
@@ -150,6 +154,11 @@
 	}
 }
 
+// Reads returns how many reads replicas and primaries have served.
+func (fr *Front) Reads() (replica, primary int64) {
+	return fr.replicaReads.Load(), fr.primaryReads.Load()
+}
+
 // Sessions returns how many sessions are open.
 func (fr *Front) Sessions() int {
 	fr.mu.Lock()
--- a/io/front/run.go
+++ b/io/front/run.go
@@ -35,9 +35,7 @@
 	class docum.ReadClass
 	// forwarded is true once a part of the answer went to the caller.
 	forwarded bool
-	// failed is true once the caller was sent an error.
-	failed bool
-	meter  *metric.Request
+	meter     *metric.Request
 }
 
 // run serves one unit. An error ends the session.
@@ -156,7 +154,7 @@
 
 func (rq *request) readOnce(ctx context.Context, floor posn.Position) error {
 	now := rq.se.front.now()
-	ups := route.Reads(rq.board.upstreams(), route.Request{
+	ups := rq.se.front.cluster.Reads(rq.board.upstreams(), route.Request{
 		From:        rq.se.front.site,
 		Floor:       floor,
 		PrimaryOnly: rq.class.MaxAge == 0,
@@ -279,12 +277,12 @@
 	if !ok {
 		return codes.Refuse(codes.NoPrimary, "upstream %q left the group", up.Name)
 	}
-	st, err := rq.se.front.cluster.Run(ctx, mem)
+	st, err := rq.se.front.cluster.Run(mem)
 	if err != nil {
 		rq.learn(up, mem, nil, err)
 		return err
 	}
-	end, err := rq.exchange(&st, rq.open(mem, floor, up.Primary))
+	end, err := rq.exchange(ctx, &st, rq.open(mem, floor, up.Primary))
 	rq.learn(up, mem, end, err)
 	if err != nil {
 		st.Close()
@@ -296,11 +294,19 @@
 }
 
 func (rq *request) countServed(up route.Upstream) {
+	fr := rq.se.front
 	if up.Primary {
 		rq.meter.Primary.Inc(1)
-		return
+	} else {
+		rq.meter.Replica.Inc(1)
+	}
+	switch {
+	case !rq.un.isRead():
+	case up.Primary:
+		fr.primaryReads.Add(1)
+	default:
+		fr.replicaReads.Add(1)
 	}
-	rq.meter.Replica.Inc(1)
 }
 
 func (rq *request) keepOrClose(st peer.Stream, mem store.Member, end *wire.UnitEnd) {
@@ -355,10 +361,10 @@
 }
 
 // continueHeld runs the unit on the stream of the open transaction.
-func (rq *request) continueHeld(context.Context) error {
+func (rq *request) continueHeld(ctx context.Context) error {
 	se := rq.se
 	held := se.held
-	end, err := rq.exchange(&held.stream, nil)
+	end, err := rq.exchange(ctx, &held.stream, nil)
 	if err != nil && rq.endsTransaction() {
 		se.dropHeld()
 		return err
@@ -412,13 +418,15 @@
 }
 
 // exchange sends the unit and passes the answer on. The error is a refusal.
-func (rq *request) exchange(st *peer.Stream, op *wire.Open) (*wire.UnitEnd, error) {
+func (rq *request) exchange(ctx context.Context, st *peer.Stream, op *wire.Open) (*wire.UnitEnd, error) {
 	se := rq.se
 	if op != nil {
 		if err := st.Send(&wire.RunRequest{Kind: &wire.RunRequest_Open{Open: op}}); err != nil {
 			return nil, codes.Refuse(codes.PeerUnreached, "%v", err)
 		}
 	}
+	stop := context.AfterFunc(ctx, st.Close)
+	defer stop()
 	se.setCurrent(st)
 	defer se.setCurrent(nil)
 	if err := se.send(st, rq.unitMessage(se.front.now())); err != nil {
--- a/io/home/home.go
+++ b/io/home/home.go
@@ -41,6 +41,8 @@
 	// groups returns a group as the platform last described it.
 	groups  func(name string) (store.Group, bool)
 	leaving atomic.Bool
+	// share divides the connections of each upstream; at least 1.
+	share int
 	// work counts the Run streams in hand.
 	work sync.WaitGroup
 
@@ -56,6 +58,7 @@
 	dial func(ctx context.Context, address string) (net.Conn, error),
 	groups func(name string) (store.Group, bool),
 	peers Peers,
+	share int,
 ) *Manager {
 	return &Manager{
 		settings:  settings,
@@ -64,6 +67,7 @@
 		dial:      dial,
 		peers:     peers,
 		groups:    groups,
+		share:     share,
 		upstreams: make(map[string]*Upstream),
 	}
 }
@@ -133,9 +137,15 @@
 	}
 }
 
-// Trim closes connections that have been idle for too long.
-func (ma *Manager) Trim() {
+// Trim closes connections that have been idle for too long, and gives those
+// of upstreams that have another home back to it.
+func (ma *Manager) Trim(isHome func(mem store.Member) bool) {
 	for _, up := range ma.list() {
+		if ma.leaving.Load() || !isHome(up.member) {
+			up.shed()
+			continue
+		}
+		up.resume()
 		up.trim(ma.now())
 	}
 }
--- a/io/home/run.go
+++ b/io/home/run.go
@@ -206,7 +206,9 @@
 // transaction is open, and waits for the confirmation asked for.
 func (ru *run) execute(ctx context.Context, un *wire.Unit, deadline time.Time) (*wire.UnitEnd, error) {
 	inTransaction := ru.co.status != 'I'
-	unlock, err := ru.up.slots.acquire(ctx, ru.item(deadline))
+	item := ru.item(deadline)
+	item.Urgent = inTransaction
+	unlock, err := ru.up.slots.acquire(ctx, item)
 	if err != nil {
 		ru.giveBack()
 		if inTransaction {
--- a/io/home/upstream.go
+++ b/io/home/upstream.go
@@ -38,7 +38,7 @@
 	mu sync.Mutex
 	// idle holds connections that nobody uses, the last used at the end.
 	idle []*conn
-	// closing is set once the home is given up; no connection is kept then.
+	// closing is set while another daemon is home; no connection is kept then.
 	closing bool
 
 	control *control
@@ -78,7 +78,7 @@
 			statements: ma.settings.StatementsPerConnection,
 			dial:       ma.dial,
 		},
-		connections: newGate(max(1, member.Connections-controlConnections), ma.settings.QueueTotal, ma.now),
+		connections: newGate(max(1, member.Connections/ma.share-controlConnections), ma.settings.QueueTotal, ma.now),
 		slots:       newGate(max(1, member.Slots), ma.settings.QueueTotal, ma.now),
 	}
 	up.control = &control{up: up}
@@ -197,6 +197,13 @@
 	}
 }
 
+// resume keeps connections again.
+func (up *Upstream) resume() {
+	up.mu.Lock()
+	defer up.mu.Unlock()
+	up.closing = false
+}
+
 // close gives the home up.
 func (up *Upstream) close() {
 	up.shed()
--- a/io/peer/client.go
+++ b/io/peer/client.go
@@ -21,7 +21,8 @@
 type Stream struct {
 	Send func(*wire.RunRequest) error
 	Recv func() (*wire.RunReply, error)
-	// Close ends the stream; the home finishes on its own.
+	// Close ends the stream and makes a waiting Recv return; it may be called
+	// more than once and at any time.
 	Close func()
 }
 
@@ -66,7 +67,6 @@
 			grpc.WithInitialWindowSize(windowBytes),
 			grpc.WithInitialConnWindowSize(4*windowBytes),
 			grpc.WithDefaultCallOptions(grpc.MaxCallRecvMsgSize(maxMessageBytes)),
-			grpc.WithSharedWriteBuffer(true),
 			grpc.WithConnectParams(connectParams()),
 		)
 		if err != nil {
@@ -98,13 +98,14 @@
 	return codes.Refuse(codes.PeerUnreached, "%s: %v", mem.ID, err)
 }
 
-// Run opens a Run stream to a member. The error is a refusal that is not run.
-func (cl *Client) Run(ctx context.Context, mem place.Member) (Stream, error) {
+// Run opens a Run stream to a member; it lives until it is closed. The error
+// is a refusal that is not run.
+func (cl *Client) Run(mem place.Member) (Stream, error) {
 	pc, err := cl.peer(mem.Address)
 	if err != nil {
 		return Stream{}, unreached(mem, err)
 	}
-	ctx, cancel := context.WithCancel(ctx)
+	ctx, cancel := context.WithCancel(context.Background())
 	st, err := pc.Run(ctx)
 	if err != nil {
 		cancel()
--- a/io/peer/local.go
+++ b/io/peer/local.go
@@ -3,14 +3,15 @@
 import (
 	"context"
 	"io"
+	"sync"
 
 	"banyanspring/io/home"
 	"banyanspring/io/wire"
 )
 
 // Local opens a Run stream to the daemon's own homes without a network.
-func Local(ctx context.Context, homes *home.Manager) Stream {
-	ctx, cancel := context.WithCancel(ctx)
+func Local(homes *home.Manager) Stream {
+	ctx, cancel := context.WithCancel(context.Background())
 	requests := make(chan *wire.RunRequest, 2)
 	replies := make(chan *wire.RunReply, 2)
 	ended := make(chan struct{})
@@ -49,10 +50,10 @@
 			}
 		},
 		Recv: func() (*wire.RunReply, error) { return receive(replies, ended) },
-		Close: func() {
+		Close: sync.OnceFunc(func() {
 			close(requests)
 			cancel()
-		},
+		}),
 	}
 }
 
--- a/io/peer/server.go
+++ b/io/peer/server.go
@@ -52,7 +52,6 @@
 		grpc.InitialWindowSize(windowBytes),
 		grpc.InitialConnWindowSize(4*windowBytes),
 		grpc.MaxRecvMsgSize(maxMessageBytes),
-		grpc.SharedWriteBuffer(true),
 	)
 	wire.RegisterPeerServer(se.grpc, se)
 	return se
--- a/io/standin/platf/platf.go
+++ b/io/standin/platf/platf.go
@@ -34,11 +34,10 @@
 	// lists holds past lists of instances, oldest first.
 	lists []datedList
 
-	down    atomic.Bool
-	delay   atomic.Int64
-	losing  atomic.Int64
-	calls   atomic.Int64
-	waiting atomic.Int64
+	down   atomic.Bool
+	delay  atomic.Int64
+	losing atomic.Int64
+	calls  atomic.Int64
 }
 
 type key struct{ kind, name string }
--- a/io/standin/upstr/upstr.go
+++ b/io/standin/upstr/upstr.go
@@ -182,6 +182,26 @@
 	return se.primary
 }
 
+// CountBy runs a query of a text and a count, past the protocol and its limits,
+// and returns the counts by text.
+func (se *Server) CountBy(ctx context.Context, query string) (map[string]int64, error) {
+	rows, err := se.db.QueryContext(ctx, query)
+	if err != nil {
+		return nil, err
+	}
+	defer func() { _ = rows.Close() }()
+	out := make(map[string]int64)
+	for rows.Next() {
+		var text string
+		var count int64
+		if err := rows.Scan(&text, &count); err != nil {
+			return nil, err
+		}
+		out[text] += count
+	}
+	return out, rows.Err()
+}
+
 // Close stops the upstream and drops all connections.
 func (se *Server) Close() {
 	se.cancel()
--- a/io/wire/posn.go
+++ b/io/wire/posn.go
@@ -1,3 +1,5 @@
+// Package wire is what daemons say to each other: generated messages, and their
+// conversion to the types of the core.
 package wire
 
 import (
