Let a request starve nowhere while an upstream's connections are short

Cause: a daemon that had been home kept its control connection, so the new home's last connection was refused for good, and a request that met this dialled in a loop until its deadline instead of taking one that came free. Beside it, the stand-in's in-memory SQLite let nobody read while a transaction was open, so a reader in a slot and a transaction without one waited for each other. Change: give the control connection back too, look at the pool before each dial, keep a second connection in reserve; the stand-in reads commits from a copy, as a database with row versions would. Ruled out: a leak of connections (the peak stays at the limit of 16).

--- a/io/home/upstream.go
+++ b/io/home/upstream.go
@@ -55,9 +55,10 @@
 	lastUsed atomic.Int64
 }
 
-// controlConnections is how many of an upstream's connections the home keeps
-// for its own questions.
-const controlConnections = 1
+// controlConnections is how many of an upstream's connections are not for
+// callers: one for the home's own questions, and one for tests of silent
+// connections and for the questions of an earlier home.
+const controlConnections = 2
 
 // questionTimeout bounds the home's own questions to an upstream.
 const questionTimeout = 2 * time.Second
@@ -90,20 +91,33 @@
 }
 
 // take returns an idle connection that is alive, or a new one. The error is a
-// refusal, and nothing was sent.
+// refusal, and nothing was sent. While the upstream has no connection left, as
+// happens until another home has given its own back, it waits.
 func (up *Upstream) take(ctx context.Context, deadline time.Time) (*conn, error) {
 	for {
-		co := up.pop()
-		if co == nil {
-			break
+		if co := up.popAlive(); co != nil {
+			return co, nil
+		}
+		co, err := up.open(ctx, deadline)
+		if !codes.Is(err, codes.ConnectionsInUse) || !up.now().Add(inUseRetry).Before(deadline) {
+			return co, err
+		}
+		if !pause(ctx, inUseRetry) {
+			return nil, err
 		}
+	}
+}
+
+// popAlive returns an idle connection that still works, or nil.
+func (up *Upstream) popAlive() *conn {
+	for co := up.pop(); co != nil; co = up.pop() {
 		if co.isAlive() {
-			return co, nil
+			return co
 		}
 		co.doubt = true
 		co.close()
 	}
-	return up.open(ctx, deadline)
+	return nil
 }
 
 func (up *Upstream) pop() *conn {
@@ -122,23 +136,17 @@
 // are used up, as happens while another home gives them back.
 const inUseRetry = 10 * time.Millisecond
 
+// open dials a new connection.
 func (up *Upstream) open(ctx context.Context, deadline time.Time) (*conn, error) {
-	for {
-		limit := up.now().Add(up.settings.DialTimeout)
-		if deadline.Before(limit) {
-			limit = deadline
-		}
-		dialCtx, cancel := context.WithDeadline(ctx, limit)
-		co, err := up.dialer.open(dialCtx)
-		cancel()
-		up.noteReach(err)
-		if !codes.Is(err, codes.ConnectionsInUse) || !up.now().Add(inUseRetry).Before(deadline) {
-			return co, err
-		}
-		if !pause(ctx, inUseRetry) {
-			return nil, err
-		}
+	limit := up.now().Add(up.settings.DialTimeout)
+	if deadline.Before(limit) {
+		limit = deadline
 	}
+	ctx, cancel := context.WithDeadline(ctx, limit)
+	defer cancel()
+	co, err := up.dialer.open(ctx)
+	up.noteReach(err)
+	return co, err
 }
 
 func (up *Upstream) noteReach(err error) {
@@ -185,7 +193,8 @@
 	}
 }
 
-// shed closes idle connections, and those in use when they come back.
+// shed closes idle connections, and those in use when they come back. The
+// control connection is opened again when somebody asks.
 func (up *Upstream) shed() {
 	up.mu.Lock()
 	idle := up.idle
@@ -195,6 +204,7 @@
 	for _, co := range idle {
 		co.close()
 	}
+	up.control.close()
 }
 
 // resume keeps connections again.
@@ -207,7 +217,6 @@
 // close gives the home up.
 func (up *Upstream) close() {
 	up.shed()
-	up.control.close()
 	up.confirm.close()
 }
 
--- a/io/standin/upstr/conn.go
+++ b/io/standin/upstr/conn.go
@@ -21,11 +21,12 @@
 	se      *Server
 	net     net.Conn
 	backend *pgproto3.Backend
-	db      *sql.Conn
-	types   *pgtype.Map
-	pid     uint32
-	secret  uint32
-	silent  atomic.Bool
+	// work and committed are connections to the databases of the server.
+	work, committed *sql.Conn
+	types           *pgtype.Map
+	pid             uint32
+	secret          uint32
+	silent          atomic.Bool
 
 	statements map[string]*statement
 	portals    map[string]*portal
@@ -109,15 +110,21 @@
 	}
 	for peak := se.peak.Load(); open > peak && !se.peak.CompareAndSwap(peak, open); peak = se.peak.Load() {
 	}
-	dc, err := se.db.Conn(ctx)
+	work, err := se.work.Conn(ctx)
 	if err != nil {
 		return
 	}
+	committed, err := se.committed.Conn(ctx)
+	if err != nil {
+		_ = work.Close()
+		return
+	}
 	co := &conn{
 		se:         se,
 		net:        nc,
 		backend:    be,
-		db:         dc,
+		work:       work,
+		committed:  committed,
 		types:      pgtype.NewMap(),
 		pid:        se.nextID.Add(1),
 		secret:     rand.Uint32(),
@@ -150,7 +157,8 @@
 	if co.status != 'I' || co.implicit {
 		co.rollback()
 	}
-	_ = co.db.Close()
+	_ = co.work.Close()
+	_ = co.committed.Close()
 }
 
 func (co *conn) ready() {
@@ -250,30 +258,35 @@
 	}
 }
 
-// begin opens a database transaction; one that may write waits for the writer
-// lock, so that transactions commit in the order of the log.
+// begin opens a transaction. One that may write waits for the writer lock, so
+// that transactions commit in the order of the log; each statement of one that
+// only reads sees the newest commit.
 func (co *conn) begin(ctx context.Context, readOnly bool) error {
-	verb := "BEGIN IMMEDIATE"
-	if readOnly || !co.se.IsPrimary() {
-		verb = "BEGIN"
-		readOnly = true
-	}
-	if !readOnly {
-		select {
-		case co.se.writer <- struct{}{}:
-		case <-ctx.Done():
-			return ctx.Err()
-		}
-		co.writing = true
+	co.readOnly = readOnly || !co.se.IsPrimary()
+	if co.readOnly {
+		return nil
+	}
+	select {
+	case co.se.writer <- struct{}{}:
+	case <-ctx.Done():
+		return ctx.Err()
 	}
-	co.readOnly = readOnly
-	if _, err := co.db.ExecContext(context.Background(), verb); err != nil {
+	co.writing = true
+	if _, err := co.work.ExecContext(context.Background(), "BEGIN IMMEDIATE"); err != nil {
 		co.unlock()
 		return err
 	}
 	return nil
 }
 
+// source returns the database that the next statement reads.
+func (co *conn) source() *sql.Conn {
+	if co.writing {
+		return co.work
+	}
+	return co.committed
+}
+
 func (co *conn) unlock() {
 	if co.writing {
 		<-co.se.writer
@@ -285,28 +298,44 @@
 }
 
 func (co *conn) rollback() {
-	_, _ = co.db.ExecContext(context.Background(), "ROLLBACK")
+	if co.writing {
+		_, _ = co.work.ExecContext(context.Background(), "ROLLBACK")
+	}
 	co.unlock()
 }
 
 // commit ends the transaction and logs it if it wrote.
 func (co *conn) commit() error {
-	if _, err := co.db.ExecContext(context.Background(), "COMMIT"); err != nil {
+	if !co.writing {
+		co.unlock()
+		return nil
+	}
+	if _, err := co.work.ExecContext(context.Background(), "COMMIT"); err != nil {
 		co.rollback()
 		return err
 	}
-	if len(co.pending) > 0 {
-		co.se.mu.Lock()
-		te := co.se.term
-		co.se.mu.Unlock()
-		co.se.journal.append(Entry{
-			TermNumber:  te.Number,
-			TermPrimary: te.Primary,
-			Committed:   time.Now(),
-			Statements:  co.pending,
-		})
+	defer co.unlock()
+	if len(co.pending) == 0 {
+		return nil
 	}
-	co.unlock()
+	return co.se.log(co.pending)
+}
+
+// log repeats a commit on the committed database and appends it to the log.
+func (se *Server) log(statements []LoggedStatement) error {
+	se.mu.Lock()
+	te := se.term
+	se.mu.Unlock()
+	en := Entry{
+		TermNumber:  te.Number,
+		TermPrimary: te.Primary,
+		Committed:   time.Now(),
+		Statements:  statements,
+	}
+	if err := applyEntry(context.Background(), se.committed, en); err != nil {
+		return err
+	}
+	se.journal.append(en)
 	return nil
 }
 
--- a/io/standin/upstr/exec.go
+++ b/io/standin/upstr/exec.go
@@ -255,7 +255,7 @@
 	for pos := range args {
 		args[pos] = "0"
 	}
-	rows, err := co.db.QueryContext(ctx, text, args...)
+	rows, err := co.source().QueryContext(ctx, text, args...)
 	if err != nil {
 		return nil, err
 	}
@@ -440,7 +440,7 @@
 	if !isQuery(po.st.sql) {
 		return co.exec(ctx, po, text, writes)
 	}
-	po.rows, err = co.db.QueryContext(context.WithoutCancel(ctx), text, anyArgs(po.args)...)
+	po.rows, err = co.source().QueryContext(context.WithoutCancel(ctx), text, anyArgs(po.args)...)
 	if err != nil {
 		return err
 	}
@@ -463,7 +463,7 @@
 }
 
 func (co *conn) exec(ctx context.Context, po *portal, text string, writes bool) error {
-	res, err := co.db.ExecContext(ctx, text, anyArgs(po.args)...)
+	res, err := co.source().ExecContext(ctx, text, anyArgs(po.args)...)
 	if err != nil {
 		return err
 	}
--- a/io/standin/upstr/upstr.go
+++ b/io/standin/upstr/upstr.go
@@ -47,13 +47,16 @@
 
 // Server is a running upstream.
 type Server struct {
-	opts     Options
-	db       *sql.DB
-	listener net.Listener
-	control  *http.Server
-	ctlAddr  string
-	journal  *journal
-	slots    chan struct{}
+	opts Options
+	// work holds the data that transactions change. An in-memory SQLite lets
+	// nobody read while a transaction writes, so reads outside of such
+	// transactions go to committed, which repeats each commit.
+	work, committed *sql.DB
+	listener        net.Listener
+	control         *http.Server
+	ctlAddr         string
+	journal         *journal
+	slots           chan struct{}
 	// writer is held from the begin to the end of a transaction that may write.
 	writer chan struct{}
 
@@ -81,12 +84,14 @@
 
 // Start opens the ports and returns a running upstream.
 func Start(opts Options) (*Server, error) {
-	dsn := fmt.Sprintf("file:/%s-%d?vfs=memdb&_pragma=busy_timeout(10000)", opts.Name, instanceCount.Add(1))
-	db, err := sql.Open("sqlite", dsn)
+	work, err := openMemory(opts)
 	if err != nil {
-		return nil, errors.Wrap(err, "open database")
+		return nil, err
+	}
+	committed, err := openMemory(opts)
+	if err != nil {
+		return nil, err
 	}
-	db.SetMaxIdleConns(opts.Connections + 4)
 	ln, err := net.Listen("tcp", opts.Listen)
 	if err != nil {
 		return nil, errors.Wrap(err, "listen")
@@ -97,25 +102,21 @@
 	}
 	ctx, cancel := context.WithCancel(context.Background())
 	se := &Server{
-		opts:     opts,
-		db:       db,
-		listener: ln,
-		ctlAddr:  ctl.Addr().String(),
-		journal:  newJournal(),
-		slots:    make(chan struct{}, opts.Slots),
-		writer:   make(chan struct{}, 1),
-		term:     posn.Term{Number: 1, Primary: opts.Primary},
-		primary:  opts.Follow == "",
-		follow:   opts.Follow,
-		conns:    make(map[uint32]*conn),
-		cancel:   cancel,
+		opts:      opts,
+		work:      work,
+		committed: committed,
+		listener:  ln,
+		ctlAddr:   ctl.Addr().String(),
+		journal:   newJournal(),
+		slots:     make(chan struct{}, opts.Slots),
+		writer:    make(chan struct{}, 1),
+		term:      posn.Term{Number: 1, Primary: opts.Primary},
+		primary:   opts.Follow == "",
+		follow:    opts.Follow,
+		conns:     make(map[uint32]*conn),
+		cancel:    cancel,
 	}
 	se.lag.Store(int64(opts.Lag))
-	// One idle connection keeps the in-memory database alive.
-	if _, err := db.Exec("CREATE TABLE IF NOT EXISTS standin_meta (k TEXT)"); err != nil {
-		cancel()
-		return nil, errors.Wrap(err, "prepare database")
-	}
 	se.startControl(ctl)
 	se.wg.Add(2)
 	go se.accept(ctx)
@@ -123,6 +124,18 @@
 	return se, nil
 }
 
+// openMemory opens an in-memory database. Its idle connections keep it alive.
+func openMemory(opts Options) (*sql.DB, error) {
+	dsn := fmt.Sprintf("file:/%s-%d?vfs=memdb&_pragma=busy_timeout(10000)", opts.Name, instanceCount.Add(1))
+	db, err := sql.Open("sqlite", dsn)
+	if err != nil {
+		return nil, errors.Wrap(err, "open database")
+	}
+	db.SetMaxIdleConns(opts.Connections + 4)
+	_, err = db.Exec("CREATE TABLE IF NOT EXISTS standin_meta (k TEXT)")
+	return db, errors.Wrap(err, "prepare database")
+}
+
 // Address returns the address for the Postgres protocol.
 func (se *Server) Address() string { return se.listener.Addr().String() }
 
@@ -185,7 +198,7 @@
 // CountBy runs a query of a text and a count, past the protocol and its limits,
 // and returns the counts by text.
 func (se *Server) CountBy(ctx context.Context, query string) (map[string]int64, error) {
-	rows, err := se.db.QueryContext(ctx, query)
+	rows, err := se.committed.QueryContext(ctx, query)
 	if err != nil {
 		return nil, err
 	}
@@ -209,7 +222,8 @@
 	_ = se.control.Close()
 	se.DropConnections()
 	se.wg.Wait()
-	_ = se.db.Close()
+	_ = se.work.Close()
+	_ = se.committed.Close()
 }
 
 func (se *Server) startControl(ln net.Listener) {
@@ -325,14 +339,16 @@
 		}
 		due = en.Committed.Add(time.Duration(se.lag.Load()) + se.opts.FetchLatency)
 	}
-	if err := se.applyEntry(ctx, en); err != nil && ctx.Err() == nil {
-		panic(fmt.Sprintf("replica %s cannot replay entry %d: %v", se.opts.Name, en.Offset, err))
+	for _, db := range []*sql.DB{se.work, se.committed} {
+		if err := applyEntry(ctx, db, en); err != nil && ctx.Err() == nil {
+			panic(fmt.Sprintf("replica %s cannot replay entry %d: %v", se.opts.Name, en.Offset, err))
+		}
 	}
 	se.journal.append(en)
 }
 
-func (se *Server) applyEntry(ctx context.Context, en Entry) error {
-	tx, err := se.db.BeginTx(ctx, nil)
+func applyEntry(ctx context.Context, db *sql.DB, en Entry) error {
+	tx, err := db.BeginTx(ctx, nil)
 	if err != nil {
 		return err
 	}
