Reuse streams between daemons for repeatable requests

Change: an answer that leaves no transaction gives its stream back; reads reuse it, writes do not, since the peer of an idle stream may be gone and a write would then have an unknown outcome. A connection that was sent a cancel request is closed: the request may arrive late and hit the next caller.

--- a/io/daemon/host.go
+++ b/io/daemon/host.go
@@ -180,6 +180,19 @@
 // daemon's entry.
 func (ho *Host) Reads() (replica, primary int64) { return ho.front.Reads() }
 
+// Members returns how many daemons this one knows, itself included.
+func (ho *Host) Members() int { return len(ho.members.View(ho.seams.Now()).Members()) }
+
+// IsHomeOf reports whether the daemon is home of an upstream.
+func (ho *Host) IsHomeOf(upstream string) bool {
+	for _, gr := range ho.groups.List() {
+		if mem, ok := gr.GetMemberByName(upstream); ok {
+			return ho.isSelf(ho.homeOf(mem))
+		}
+	}
+	return false
+}
+
 // Sessions returns how many caller sessions are open.
 func (ho *Host) Sessions() int { return ho.front.Sessions() }
 
@@ -210,12 +223,16 @@
 
 func (ho *Host) isSelf(mem place.Member) bool { return mem.ID == ho.Settings.Daemon.ID }
 
-// run opens a stream to the home of an upstream.
-func (ho *Host) run(mem store.Member) (peer.Stream, error) {
+// run opens a stream to the home of an upstream; a request that may be repeated
+// can reuse one.
+func (ho *Host) run(mem store.Member, repeatable bool) (peer.Stream, error) {
 	got := ho.homeOf(mem)
 	if ho.isSelf(got) {
 		return peer.Local(ho.homes), nil
 	}
+	if repeatable {
+		return ho.client.Reuse(got)
+	}
 	return ho.client.Run(got)
 }
 
--- a/io/daemon/plugins.go
+++ b/io/daemon/plugins.go
@@ -142,6 +142,7 @@
 
 func (ho *Host) trim() {
 	for pause(ho.background, trimEvery) {
+		ho.client.Trim(ho.seams.Now())
 		ho.homes.Trim(func(mem store.Member) bool { return ho.isSelf(ho.homeOf(mem)) })
 	}
 }
--- a/io/fleet/fleet.go
+++ b/io/fleet/fleet.go
@@ -393,6 +393,26 @@
 	}
 }
 
+// Settle waits until every daemon knows all others.
+func (fl *Fleet) Settle(ctx context.Context) error {
+	const pollEvery = 20 * time.Millisecond
+	for {
+		hosts := fl.Daemons()
+		settled := true
+		for _, ho := range hosts {
+			settled = settled && ho.Members() == len(hosts)
+		}
+		if settled {
+			return nil
+		}
+		select {
+		case <-time.After(pollEvery):
+		case <-ctx.Done():
+			return ctx.Err()
+		}
+	}
+}
+
 // Daemons returns the daemons that were started and not removed.
 func (fl *Fleet) Daemons() []*daemon.Host {
 	fl.mu.Lock()
--- a/io/front/front.go
+++ b/io/front/front.go
@@ -34,8 +34,10 @@
 	Document func() *adopt.Snapshot
 	// Group returns a database group as the platform last described it.
 	Group func(name string) (store.Group, bool)
-	// Run opens a stream to the home of an upstream; it lives until closed.
-	Run func(mem store.Member) (peer.Stream, error)
+	// Run opens a stream to the home of an upstream; it lives until it is
+	// closed or released. A repeatable request may get a stream whose peer is
+	// gone.
+	Run func(mem store.Member, repeatable bool) (peer.Stream, error)
 	// Floor returns a confirmed position of a group that was asked for after
 	// the call, and when.
 	Floor func(ctx context.Context, gr store.Group) (posn.Position, time.Time, error)
--- a/io/front/fuzz_test.go
+++ b/io/front/fuzz_test.go
@@ -33,6 +33,8 @@
 		},
 		Recv:  func() (*wire.RunReply, error) { return <-ends, nil },
 		Close: func() {},
+
+		Release: func() {},
 	}
 }
 
@@ -54,7 +56,7 @@
 	fr, err := New(settings, slog.New(slog.DiscardHandler), time.Now, Cluster{
 		Document: func() *adopt.Snapshot { return &adopt.Snapshot{Version: 1, Document: doc} },
 		Group:    func(string) (store.Group, bool) { return gr, true },
-		Run:      func(store.Member) (peer.Stream, error) { return stubStream(), nil },
+		Run:      func(store.Member, bool) (peer.Stream, error) { return stubStream(), nil },
 		Reads:    route.Reads,
 		Avoid:    func(store.Member) {},
 	}, metrics, nil)
--- a/io/front/run.go
+++ b/io/front/run.go
@@ -278,7 +278,7 @@
 	if !ok {
 		return codes.Refuse(codes.NoPrimary, "upstream %q left the group", up.Name)
 	}
-	st, err := rq.se.front.cluster.Run(mem)
+	st, err := rq.se.front.cluster.Run(mem, rq.un.isRead())
 	if err != nil {
 		rq.learn(up, mem, nil, err)
 		return err
@@ -313,7 +313,7 @@
 func (rq *request) keepOrClose(st peer.Stream, mem store.Member, end *wire.UnitEnd) {
 	status := byte(end.TransactionStatus)
 	if status == 'I' {
-		st.Close()
+		st.Release()
 		return
 	}
 	rq.se.held = &heldStream{
@@ -443,6 +443,10 @@
 			}
 			continue
 		}
+		if !stop() {
+			// The deadline passed just now and the stream is closing.
+			st.Release = st.Close
+		}
 		return re.GetEnd(), rq.ended(re.GetEnd())
 	}
 }
--- a/io/home/conn.go
+++ b/io/home/conn.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"net"
 	"strconv"
+	"sync/atomic"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -41,6 +42,9 @@
 	doubt bool
 	// status is that of the last ReadyForQuery.
 	status byte
+	// cancelled is set once a cancel request was sent. It may arrive late, so
+	// the connection must not serve anybody else.
+	cancelled atomic.Bool
 	// idleSince is when the connection was put back.
 	idleSince time.Time
 }
--- a/io/home/home.go
+++ b/io/home/home.go
@@ -43,7 +43,7 @@
 	leaving atomic.Bool
 	// share divides the connections of each upstream; at least 1.
 	share int
-	// work counts the Run streams in hand.
+	// work counts the requests and transactions in hand.
 	work sync.WaitGroup
 
 	mu        sync.Mutex
--- a/io/home/run.go
+++ b/io/home/run.go
@@ -33,8 +33,6 @@
 
 // Run serves a stream from an entry.
 func (ma *Manager) Run(ctx context.Context, st Stream) error {
-	ma.work.Add(1)
-	defer ma.work.Done()
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	ru := &run{ma: ma, st: st, units: make(chan *wire.RunRequest)}
@@ -169,7 +167,12 @@
 	if err != nil {
 		return posn.Position{}, err
 	}
-	ru.release = release
+	ma := ru.ma
+	ma.work.Add(1)
+	ru.release = func() {
+		release()
+		ma.work.Done()
+	}
 	ru.setCurrent(co)
 	return posn.Position{}, nil
 }
--- a/io/home/upstream.go
+++ b/io/home/upstream.go
@@ -163,7 +163,7 @@
 
 // put takes a connection back; one in doubt or inside a transaction is closed.
 func (up *Upstream) put(co *conn) {
-	if co.doubt || co.status != 'I' || len(co.evicted) > up.settings.StatementsPerConnection {
+	if co.doubt || co.cancelled.Load() || co.status != 'I' || len(co.evicted) > up.settings.StatementsPerConnection {
 		co.doubt = true
 		co.close()
 		return
@@ -235,7 +235,9 @@
 	return co, func() { up.put(co); release() }, nil
 }
 
+// cancelAsync asks the upstream to stop what the connection runs.
 func (up *Upstream) cancelAsync(co *conn) {
+	co.cancelled.Store(true)
 	pid, secret := co.pid, co.secret
 	go func() {
 		ctx, cancel := context.WithTimeout(context.Background(), up.settings.DialTimeout)
--- a/io/load/load.go
+++ b/io/load/load.go
@@ -121,6 +121,9 @@
 }
 
 func (ru *Run) execute(ctx context.Context) (*Result, error) {
+	if err := ru.Fleet.Settle(ctx); err != nil {
+		return nil, err
+	}
 	if err := ru.createTables(ctx); err != nil {
 		return nil, err
 	}
--- a/io/peer/client.go
+++ b/io/peer/client.go
@@ -24,6 +24,9 @@
 	// Close ends the stream and makes a waiting Recv return; it may be called
 	// more than once and at any time.
 	Close func()
+	// Release gives a stream back after an answer that left no transaction
+	// open, so that another request can use it.
+	Release func()
 }
 
 const (
@@ -44,14 +47,28 @@
 
 	mu    sync.Mutex
 	conns map[string]*grpc.ClientConn
+	// idle holds released streams by address, the last used at the end.
+	idle map[string][]idleStream
 }
 
+type idleStream struct {
+	stream Stream
+	since  time.Time
+}
+
+const (
+	// maxIdleStreams bounds the streams kept for one peer.
+	maxIdleStreams = 32
+	// maxStreamIdle is how long an unused stream is kept.
+	maxStreamIdle = 5 * time.Second
+)
+
 // NewClient returns a client without connections.
 func NewClient(
 	creds credentials.TransportCredentials,
 	dial func(ctx context.Context, address string) (net.Conn, error),
 ) *Client {
-	return &Client{creds: creds, dial: dial, conns: make(map[string]*grpc.ClientConn)}
+	return &Client{creds: creds, dial: dial, conns: make(map[string]*grpc.ClientConn), idle: make(map[string][]idleStream)}
 }
 
 func (cl *Client) peer(address string) (wire.PeerClient, error) {
@@ -115,7 +132,51 @@
 		_ = st.CloseSend()
 		cancel()
 	}
-	return Stream{Send: st.Send, Recv: st.Recv, Close: closeStream}, nil
+	out := Stream{Send: st.Send, Recv: st.Recv, Close: closeStream}
+	out.Release = func() { cl.release(mem.Address, out) }
+	return out, nil
+}
+
+// Reuse returns a released stream if there is one, and opens one otherwise. It
+// is for requests that may be repeated: the peer of an idle stream may be gone.
+func (cl *Client) Reuse(mem place.Member) (Stream, error) {
+	cl.mu.Lock()
+	idle := cl.idle[mem.Address]
+	if len(idle) > 0 {
+		last := idle[len(idle)-1]
+		cl.idle[mem.Address] = idle[:len(idle)-1]
+		cl.mu.Unlock()
+		return last.stream, nil
+	}
+	cl.mu.Unlock()
+	return cl.Run(mem)
+}
+
+func (cl *Client) release(address string, st Stream) {
+	cl.mu.Lock()
+	defer cl.mu.Unlock()
+	if len(cl.idle[address]) >= maxIdleStreams {
+		st.Close()
+		return
+	}
+	st.Release = func() { cl.release(address, st) }
+	cl.idle[address] = append(cl.idle[address], idleStream{stream: st, since: time.Now()})
+}
+
+// Trim closes streams that nobody has used for a while.
+func (cl *Client) Trim(now time.Time) {
+	cl.mu.Lock()
+	defer cl.mu.Unlock()
+	for address, idle := range cl.idle {
+		for len(idle) > 0 && now.Sub(idle[0].since) > maxStreamIdle {
+			idle[0].stream.Close()
+			idle = idle[1:]
+		}
+		cl.idle[address] = idle
+		if len(idle) == 0 {
+			delete(cl.idle, address)
+		}
+	}
 }
 
 // AwaitPosition asks a member for the position of an upstream.
--- a/io/peer/local.go
+++ b/io/peer/local.go
@@ -40,7 +40,7 @@
 		defer close(ended)
 		_ = homes.Run(ctx, server)
 	}()
-	return Stream{
+	st := Stream{
 		Send: func(rq *wire.RunRequest) error {
 			select {
 			case requests <- rq:
@@ -55,6 +55,8 @@
 			cancel()
 		}),
 	}
+	st.Release = st.Close
+	return st
 }
 
 // receive prefers replies that are there over the end of the stream.
--- /dev/null
+++ b/tests/bench_test.go
@@ -0,0 +1,143 @@
+package tests
+
+import (
+	"net"
+	"runtime"
+	"testing"
+
+	"github.com/jackc/pgx/v5"
+	"github.com/jackc/pgx/v5/pgproto3"
+	"github.com/stretchr/testify/require"
+	"github.com/xdg-go/scram"
+
+	"banyanspring/io/daemon"
+	"banyanspring/io/fleet"
+)
+
+// benchFleet has no latency, so that only the daemons' own time is seen.
+func benchFleet(b *testing.B, perPlace int, seams func(*daemon.Seams)) *fleet.Fleet {
+	b.Helper()
+	opts := fleet.QalamBirligi()
+	opts.DaemonsPerPlace = perPlace
+	opts.DomainLatency, opts.RegionLatency, opts.CallerLatency = 0, 0, 0
+	opts.StatementCost = 0
+	opts.Seams = seams
+	fl, err := fleet.Start(b.Context(), opts)
+	require.NoError(b, err)
+	b.Cleanup(fl.Close)
+	require.NoError(b, fl.Settle(b.Context()))
+	return fl
+}
+
+func benchRead(b *testing.B, fl *fleet.Fleet, ho *daemon.Host) {
+	b.Helper()
+	pc, err := pgx.Connect(b.Context(), fl.URL(ho, "stationers", 0, 0))
+	require.NoError(b, err)
+	defer func() { _ = pc.Close(b.Context()) }()
+	var one int64
+	for b.Loop() {
+		if err := pc.QueryRow(b.Context(), "SELECT count(*) FROM orders").Scan(&one); err != nil {
+			b.Fatal(err)
+		}
+	}
+}
+
+// BenchmarkRead reads a replica in the caller's own failure domain: at a daemon
+// that is its home, through another daemon of the domain, and with a pool on
+// every daemon.
+func BenchmarkRead(b *testing.B) {
+	run := func(name string, perPlace int, pick func(*fleet.Fleet) *daemon.Host, seams func(*daemon.Seams)) {
+		b.Run(name, func(b *testing.B) {
+			fl := benchFleet(b, perPlace, seams)
+			pc, err := pgx.Connect(b.Context(), fl.URL(fl.Daemons()[0], "stationers", 0, 0))
+			require.NoError(b, err)
+			_, err = pc.Exec(b.Context(), "CREATE TABLE orders (id BIGINT PRIMARY KEY, item TEXT)")
+			require.NoError(b, err)
+			benchRead(b, fl, pick(fl))
+		})
+	}
+	homeOf := func(want bool) func(*fleet.Fleet) *daemon.Host {
+		return func(fl *fleet.Fleet) *daemon.Host {
+			replica := fl.Groups[fleet.GroupName(0, 0)][1].Name()
+			for _, ho := range fl.Daemons() {
+				inDomain := ho.Settings.Daemon.Domain == fl.PlaceOf(fl.Daemons()[2]).Domain
+				if inDomain && ho.IsHomeOf(replica) == want {
+					return ho
+				}
+			}
+			return nil
+		}
+	}
+	second := func(fl *fleet.Fleet) *daemon.Host { return fl.Daemons()[2] }
+	run("direct", 2, second, func(se *daemon.Seams) {
+		se.PoolEverywhere = true
+		se.Share = 6
+	})
+	run("home", 2, homeOf(true), nil)
+	run("through_peer", 2, homeOf(false), nil)
+}
+
+// openIdle logs a session in and keeps only its socket.
+func openIdle(b *testing.B, address string) net.Conn {
+	b.Helper()
+	nc, err := net.Dial("tcp", address)
+	require.NoError(b, err)
+	fe := pgproto3.NewFrontend(nc, nc)
+	fe.Send(&pgproto3.StartupMessage{
+		ProtocolVersion: pgproto3.ProtocolVersion30,
+		Parameters:      map[string]string{"user": "stationers", "database": "service-1.db1"},
+	})
+	require.NoError(b, fe.Flush())
+	cl, err := scram.SHA256.NewClient("", fleet.Password, "")
+	require.NoError(b, err)
+	talk := cl.NewConversation()
+	for {
+		msg, err := fe.Receive()
+		require.NoError(b, err)
+		switch msg := msg.(type) {
+		case *pgproto3.AuthenticationSASL:
+			first, err := talk.Step("")
+			require.NoError(b, err)
+			fe.Send(&pgproto3.SASLInitialResponse{AuthMechanism: "SCRAM-SHA-256", Data: []byte(first)})
+			require.NoError(b, fe.Flush())
+		case *pgproto3.AuthenticationSASLContinue:
+			final, err := talk.Step(string(msg.Data))
+			require.NoError(b, err)
+			fe.Send(&pgproto3.SASLResponse{Data: []byte(final)})
+			require.NoError(b, fe.Flush())
+		case *pgproto3.ReadyForQuery:
+			return nc
+		}
+	}
+}
+
+func memoryInUse() uint64 {
+	runtime.GC()
+	runtime.GC()
+	var ms runtime.MemStats
+	runtime.ReadMemStats(&ms)
+	return ms.HeapInuse + ms.StackInuse
+}
+
+// BenchmarkIdleSession reports the memory of an idle session, the test's own
+// end of the socket included.
+func BenchmarkIdleSession(b *testing.B) {
+	for _, count := range []int{250, 1000} {
+		b.Run("", func(b *testing.B) {
+			fl := benchFleet(b, 1, nil)
+			address := fl.Daemons()[0].CallerAddress()
+			openIdle(b, address)
+			for b.Loop() {
+				before := memoryInUse()
+				conns := make([]net.Conn, count)
+				for pos := range conns {
+					conns[pos] = openIdle(b, address)
+				}
+				b.ReportMetric(float64(memoryInUse()-before)/float64(count), "B/session")
+				for _, nc := range conns {
+					_ = nc.Close()
+				}
+			}
+		})
+	}
+}
