Replace a failed primary without a human

Cause: a primary that failed stayed failed; writes could not land until it came back. Change: a guard on the homes of a group's members (pure decisions in core/promo, states by stateless) joins probes and the replicas' own word; the most advanced log of a reachable majority is promoted, conditional on its term, after a claim in the store that may fail without harm; members of lower terms are ordered to follow; a promoted primary takes no writes before a majority is in its term. Entries learn terms from answers, probes and the store. Planned changes quiesce the primary first; leaving primaries are relieved.

--- a/core/codes/codes.go
+++ b/core/codes/codes.go
@@ -64,6 +64,7 @@
 	UpstreamUnreached Code = 407
 	PeerUnreached     Code = 408
 	UpstreamLeaving   Code = 409
+	OrderRefused      Code = 410
 
 	OutcomeUnknown  Code = 501
 	Unconfirmed     Code = 502
@@ -140,6 +141,8 @@
 	{PeerUnreached, "peer_unreached", "08001", true, true, "the home of the upstream could not be reached"},
 	{UpstreamLeaving, "upstream_leaving", "57P03", true, true, "the upstream is leaving and takes no new work"},
 
+	{OrderRefused, "order_refused", "55000", true, true, "the order was not carried out"},
+
 	{OutcomeUnknown, "outcome_unknown", "08007", false, false, "the request may or may not have run"},
 	{Unconfirmed, "unconfirmed", "08007", false, false, "the primary ran the write but no majority confirmed it in time; its outcome is unknown"},
 	{ConnectionLost, "connection_lost", "08006", false, false, "the upstream connection was lost in the middle of the request; its outcome is unknown"},
--- a/core/confm/confm.go
+++ b/core/confm/confm.go
@@ -99,6 +99,17 @@
 	return low, found
 }
 
+// Highest returns the highest term that any member reported.
+func (tr *Tracker) Highest() posn.Term {
+	var top posn.Term
+	for _, at := range tr.reported {
+		if at.Term.Compare(top) > 0 {
+			top = at.Term
+		}
+	}
+	return top
+}
+
 // Reported returns the highest position that the member reported.
 func (tr *Tracker) Reported(member string) posn.Position { return tr.reported[member] }
 
--- a/core/event/event.go
+++ b/core/event/event.go
@@ -39,6 +39,12 @@
 	TermObserved     ID = 307
 	ConnectionSilent ID = 308
 	KeysPruned       ID = 309
+	OrderCarriedOut  ID = 310
+	PromotionBegun   ID = 311
+	PromotionFailed  ID = 312
+	PrimarySuspected ID = 313
+	HandoverDone     ID = 314
+	TermLearned      ID = 315
 
 	PeerUnreached ID = 401
 	HomesMoved    ID = 402
@@ -90,6 +96,12 @@
 	{TermObserved, slog.LevelInfo, "term_observed", "An upstream reports a new term."},
 	{ConnectionSilent, slog.LevelWarn, "connection_silent", "An upstream connection made no progress by its deadline and is dropped."},
 	{KeysPruned, slog.LevelDebug, "keys_pruned", "Request keys past the stated age were removed."},
+	{OrderCarriedOut, slog.LevelInfo, "order_carried_out", "An upstream took an order to lead or to follow."},
+	{PromotionBegun, slog.LevelWarn, "promotion_begun", "A new primary was chosen; the event names the candidate and the term."},
+	{PromotionFailed, slog.LevelWarn, "promotion_failed", "A promotion was not carried out; another try follows."},
+	{PrimarySuspected, slog.LevelWarn, "primary_suspected", "Neither a probe nor a replica has heard of the primary for a while."},
+	{HandoverDone, slog.LevelInfo, "handover_done", "A planned change of primary was carried out."},
+	{TermLearned, slog.LevelInfo, "term_learned", "The daemon learned of a newer term, from the platform or from a peer."},
 
 	{PeerUnreached, slog.LevelWarn, "peer_unreached", "Another daemon cannot be reached."},
 	{HomesMoved, slog.LevelInfo, "homes_moved", "The membership view changed and with it the homes held here."},
--- a/io/daemon/host.go
+++ b/io/daemon/host.go
@@ -19,6 +19,7 @@
 	"banyanspring/core/life"
 	"banyanspring/core/place"
 	"banyanspring/core/posn"
+	"banyanspring/core/promo"
 	"banyanspring/core/route"
 	"banyanspring/io/front"
 	"banyanspring/io/home"
@@ -46,6 +47,10 @@
 	// Share divides the connections of each upstream between daemons; at
 	// least 1.
 	Share int
+	// Timing replaces the times of the guards; nil in production.
+	Timing *promo.Timing
+	// GuardEvery replaces the time between probes; zero in production.
+	GuardEvery time.Duration
 	// WrapCaller wraps a connection that a caller opened; nil leaves it.
 	WrapCaller func(nc net.Conn) net.Conn
 }
@@ -81,6 +86,7 @@
 	homes   *home.Manager
 	floors  *floorAskers
 	front   *front.Front
+	guards  *guards
 	server  *peer.Server
 
 	peerListener   net.Listener
--- a/io/daemon/platform.go
+++ b/io/daemon/platform.go
@@ -2,8 +2,6 @@
 
 import (
 	"context"
-	"encoding/json"
-	"sync"
 	"sync/atomic"
 	"time"
 
@@ -21,58 +19,6 @@
 	})
 }
 
-// groupCache holds the database groups as the platform last described them.
-// Readers load it without a lock.
-type groupCache struct {
-	mu     sync.Mutex
-	groups atomic.Pointer[map[string]store.Group]
-	// versions holds the version of each group; it never falls.
-	versions map[string]uint64
-}
-
-func newGroupCache() *groupCache {
-	gc := &groupCache{versions: make(map[string]uint64)}
-	gc.groups.Store(&map[string]store.Group{})
-	return gc
-}
-
-// Get returns a group by name.
-func (gc *groupCache) Get(name string) (store.Group, bool) {
-	gr, ok := (*gc.groups.Load())[name]
-	return gr, ok
-}
-
-// List returns all groups.
-func (gc *groupCache) List() []store.Group {
-	all := *gc.groups.Load()
-	out := make([]store.Group, 0, len(all))
-	for _, gr := range all {
-		out = append(out, gr)
-	}
-	return out
-}
-
-// offer takes a newer description of a group.
-func (gc *groupCache) offer(obj store.Object) error {
-	var gr store.Group
-	if err := json.Unmarshal(obj.Value, &gr); err != nil {
-		return err
-	}
-	gc.mu.Lock()
-	defer gc.mu.Unlock()
-	if obj.Version <= gc.versions[obj.Name] {
-		return nil
-	}
-	gc.versions[obj.Name] = obj.Version
-	next := make(map[string]store.Group)
-	for name, old := range *gc.groups.Load() {
-		next[name] = old
-	}
-	next[gr.Name] = gr
-	gc.groups.Store(&next)
-	return nil
-}
-
 // startPlatform reads what the daemon needs and goes on watching it.
 func startPlatform(ctx context.Context, ho *Host) error {
 	ho.store = store.New(ho.Settings.Platform.Address, ho.seams.PlatformTransport)
--- a/io/daemon/plugins.go
+++ b/io/daemon/plugins.go
@@ -124,8 +124,10 @@
 	}, ho.seams.Share)
 	ho.floors = &floorAskers{ho: ho, askers: make(map[string]*batch.Asker[posn.Position])}
 	ho.server = peer.NewServer(creds, peer.Handlers{
-		Homes:  ho.homes,
-		Cancel: func(pid, secret uint32) bool { return ho.front != nil && ho.front.Cancel(pid, secret) },
+		Homes:    ho.homes,
+		Cancel:   func(pid, secret uint32) bool { return ho.front != nil && ho.front.Cancel(pid, secret) },
+		Order:    ho.carryOut,
+		Handover: ho.handOver,
 		Leave: func(member string) {
 			event.Log(ho.Log, event.PeerLeaving, "member", member)
 			ho.members.SetLeaving(member, ho.seams.Now())
@@ -171,6 +173,8 @@
 		Floor:    ho.floors.ask,
 		Forward:  ho.forwardCancel,
 		Avoid:    ho.avoid,
+		Learn:    ho.learnTerm,
+		Refresh:  ho.refreshGroup,
 		Reads:    ho.seams.RouteReads,
 	}, ho.metrics, tlsConfig)
 	if err != nil {
--- a/io/fleet/fleet.go
+++ b/io/fleet/fleet.go
@@ -193,6 +193,7 @@
 		}
 		fl.Groups[name] = append(fl.Groups[name], up)
 		fl.setPlace(up.Address(), pl)
+		fl.setPlace(up.ControlAddress(), pl)
 		gr.Members = append(gr.Members, store.Member{
 			Name:        opts.Name,
 			Address:     up.Address(),
@@ -218,7 +219,7 @@
 		ConnectCost:   fl.opts.ConnectCost,
 		StatementCost: fl.opts.StatementCost,
 		Lag:           fl.opts.Lag,
-		FetchLatency:  fl.latency(fl.opts.Places[0], pl),
+		Dial:          func(ctx context.Context, address string) (net.Conn, error) { return fl.dial(ctx, pl, address) },
 	}
 	if num > 0 {
 		opts.Follow = fl.Groups[group][0].ControlAddress()
--- a/io/front/board.go
+++ b/io/front/board.go
@@ -22,6 +22,8 @@
 	snapshot atomic.Pointer[[]route.Upstream]
 	// group is the description from which the snapshot was made.
 	group store.Group
+	// refreshAt is when the members may be asked for their terms again.
+	refreshAt time.Time
 }
 
 func newBoards() *boards { return &boards{} }
@@ -92,12 +94,27 @@
 
 const (
 	// failedPause is how long a failed upstream is tried last.
-	failedPause = time.Second
+	failedPause = 250 * time.Millisecond
+	// refreshPause is the pause between two questions for the members' terms.
+	refreshPause = 100 * time.Millisecond
 	// behindPause is how long a replica that was behind is tried last by
 	// sessions that need more than it had.
 	behindPause = 50 * time.Millisecond
 )
 
+// refresh runs the question unless it was run a moment ago.
+func (bd *board) refresh(now time.Time, ask func()) {
+	bd.mu.Lock()
+	isDue := !now.Before(bd.refreshAt)
+	if isDue {
+		bd.refreshAt = now.Add(refreshPause)
+	}
+	bd.mu.Unlock()
+	if isDue {
+		ask()
+	}
+}
+
 func (bd *board) noteFailed(name string, now time.Time) {
 	bd.change(name, func(up *route.Upstream) { up.FailedUntil = now.Add(failedPause) })
 }
--- a/io/front/front.go
+++ b/io/front/front.go
@@ -43,6 +43,10 @@
 	Floor func(ctx context.Context, gr store.Group) (posn.Position, time.Time, error)
 	// Forward passes a cancel request on to other daemons.
 	Forward func(ctx context.Context, pid, secret uint32)
+	// Learn takes a term of a group that an answer told of.
+	Learn func(group string, te posn.Term)
+	// Refresh asks the members of a group for their terms.
+	Refresh func(gr store.Group)
 	// Reads orders the upstreams for a read.
 	Reads func(ups []route.Upstream, rq route.Request, now time.Time) []route.Upstream
 	// Avoid notes that the home of an upstream failed or is leaving.
--- a/io/front/fuzz_test.go
+++ b/io/front/fuzz_test.go
@@ -13,6 +13,7 @@
 	"banyanspring/core/adopt"
 	"banyanspring/core/conf"
 	"banyanspring/core/docum"
+	"banyanspring/core/posn"
 	"banyanspring/core/route"
 	"banyanspring/core/sessn"
 	"banyanspring/io/metric"
@@ -59,6 +60,8 @@
 		Run:      func(store.Member, bool) (peer.Stream, error) { return stubStream(), nil },
 		Reads:    route.Reads,
 		Avoid:    func(store.Member) {},
+		Learn:    func(string, posn.Term) {},
+		Refresh:  func(store.Group) {},
 	}, metrics, nil)
 	require.NoError(tb, err)
 	return fr
--- a/io/front/run.go
+++ b/io/front/run.go
@@ -150,6 +150,7 @@
 		if !rq.pause(ctx) {
 			return last
 		}
+		rq.refresh()
 	}
 }
 
@@ -212,6 +213,10 @@
 	if !ok {
 		return codes.Refuse(codes.NoPrimary, "group %q", rq.group.Name)
 	}
+	if rq.se.front.now().Before(up.FailedUntil) {
+		// Others have just tried; wait for word of a new primary.
+		return codes.Refuse(codes.NoPrimary, "%s failed a moment ago", up.Name)
+	}
 	floor := rq.se.state.Floor
 	if rq.un.has(class.Begin) && !rq.se.state.Settled {
 		var err error
@@ -331,6 +336,12 @@
 		rq.board.noteGood(up.Name)
 		return
 	}
+	if te := wire.ToPosition(end.GetPosition()).Term; te != (posn.Term{}) {
+		rq.se.front.cluster.Learn(rq.group.Name, te)
+	}
+	if up.Primary {
+		rq.board.refresh(now, func() { rq.se.front.cluster.Refresh(rq.group) })
+	}
 	switch codes.From(err).Code {
 	case codes.Behind, codes.TooStale:
 		rq.board.noteBehind(up.Name, wire.ToPosition(end.GetPosition()), now)
--- a/io/home/confirm.go
+++ b/io/home/confirm.go
@@ -69,6 +69,13 @@
 	return codes.Refuse(codes.Unconfirmed, "no majority reached %s in time", at)
 }
 
+// highest returns the highest term that any member reported.
+func (cf *confirmer) highest() posn.Term {
+	cf.mu.Lock()
+	defer cf.mu.Unlock()
+	return cf.tracker.Highest()
+}
+
 func (cf *confirmer) add(at posn.Position) (confm.Outcome, uint64, chan confm.Outcome) {
 	cf.mu.Lock()
 	defer cf.mu.Unlock()
--- a/io/home/conn.go
+++ b/io/home/conn.go
@@ -18,12 +18,17 @@
 )
 
 // positionQuery asks an upstream for its term and log position.
-const positionQuery = "SELECT term_number, term_primary, log_offset, is_primary FROM platform_position()"
+const positionQuery = "SELECT term_number, term_primary, log_offset, is_primary, " +
+	"entry_number, entry_primary, received_ms FROM platform_position()"
 
 // report is an upstream's answer to positionQuery.
 type report struct {
 	position posn.Position
 	primary  bool
+	// entry is the term and offset of the newest log entry.
+	entry posn.Position
+	// received is when a replica last heard of its primary.
+	received time.Time
 }
 
 // conn is one upstream connection. One goroutine uses it at a time.
@@ -216,21 +221,28 @@
 	return row
 }
 
+// positionColumns is the number of columns of positionQuery.
+const positionColumns = 7
+
 func parseReport(row []string) (report, error) {
-	if len(row) != 4 {
+	if len(row) != positionColumns {
 		return report{}, errors.Newf("position has %d columns", len(row))
 	}
-	num, err := strconv.ParseUint(row[0], 10, 64)
-	if err != nil {
-		return report{}, errors.Wrap(err, "term")
-	}
-	off, err := strconv.ParseUint(row[2], 10, 64)
-	if err != nil {
-		return report{}, errors.Wrap(err, "offset")
+	var nums [positionColumns]uint64
+	for _, col := range []int{0, 2, 4, 6} {
+		num, err := strconv.ParseUint(row[col], 10, 64)
+		if err != nil {
+			return report{}, errors.Wrapf(err, "position column %d", col)
+		}
+		nums[col] = num
 	}
-	te := posn.Term{Number: num, Primary: row[1]}
-	isPrimary := row[3] == "t" || row[3] == "true" || row[3] == "1"
-	return report{position: posn.Position{Term: te, Offset: off}, primary: isPrimary}, nil
+	age := time.Duration(nums[6]) * time.Millisecond
+	return report{
+		position: posn.Position{Term: posn.Term{Number: nums[0], Primary: row[1]}, Offset: nums[2]},
+		primary:  row[3] == "t" || row[3] == "true" || row[3] == "1",
+		entry:    posn.Position{Term: posn.Term{Number: nums[4], Primary: row[5]}, Offset: nums[2]},
+		received: time.Now().Add(-age),
+	}, nil
 }
 
 // report asks for the position on an idle connection.
--- a/io/home/crossed_test.go
+++ b/io/home/crossed_test.go
@@ -66,7 +66,7 @@
 			continue
 		}
 		if query.String == positionQuery {
-			sendRow(be, "1", "u", "7", "t")
+			sendRow(be, "1", "u", "7", "t", "1", "u", "0")
 		} else if !sc.answer(be, query.String) {
 			return
 		}
--- a/io/home/fresh.go
+++ b/io/home/fresh.go
@@ -98,9 +98,46 @@
 	refreshShare = 3
 )
 
-// lead returns the upstream's report if it leads its group. The error is a
-// refusal.
+// lead returns the upstream's report if it leads its group in a term that is
+// in service. The error is a refusal.
 func (up *Upstream) lead(ctx context.Context) (report, error) {
+	if up.handing.Load() {
+		return report{}, codes.Refuse(codes.NotPrimary, "%s hands over", up.member.Name)
+	}
+	got, err := up.leadReport(ctx)
+	if err != nil {
+		return got, err
+	}
+	return got, up.inService(ctx, got)
+}
+
+// inService returns nil once a majority has joined the upstream's term. Until
+// then it takes no writes: what it wrote alone could pass for more advanced
+// than what others acknowledged.
+func (up *Upstream) inService(ctx context.Context, got report) error {
+	te := got.position.Term
+	if highest := up.confirm.highest(); highest.Compare(te) > 0 {
+		return codes.Refuse(codes.NotPrimary, "term %d of %s is newer", highest.Number, highest.Primary)
+	}
+	if served := up.served.Load(); served != nil && *served == te {
+		return nil
+	}
+	deadline := up.now().Add(serviceWait)
+	if limit, ok := ctx.Deadline(); ok && limit.Before(deadline) {
+		deadline = limit
+	}
+	if err := up.confirm.await(ctx, got.position, deadline); err != nil {
+		return codes.Refuse(codes.NoMajority, "term %d is not in service", te.Number)
+	}
+	up.served.Store(&te)
+	return nil
+}
+
+// serviceWait bounds the wait for a majority to join a term.
+const serviceWait = 500 * time.Millisecond
+
+// leadReport returns the upstream's report if it says that it leads.
+func (up *Upstream) leadReport(ctx context.Context) (report, error) {
 	got := up.known.Load()
 	if got == nil || !got.primary {
 		fresh, _, err := up.reports.Ask(ctx)
--- a/io/home/run.go
+++ b/io/home/run.go
@@ -132,7 +132,7 @@
 	if ru.co == nil {
 		if at, err := ru.begin(ctx, deadline); err != nil {
 			end := wire.EndOf(codes.From(err), ru.ma.now())
-			end.Position = wire.FromPosition(at)
+			end.Position = wire.FromPosition(ru.hint(at))
 			end.TransactionStatus = 'I'
 			return end
 		}
@@ -145,6 +145,18 @@
 	return end
 }
 
+// hint raises a position to the newest term known here, so that the entry
+// learns of a change of primary with the refusal.
+func (ru *run) hint(at posn.Position) posn.Position {
+	if ru.up == nil {
+		return at
+	}
+	if highest := ru.up.confirm.highest(); highest.Compare(at.Term) > 0 {
+		return posn.Position{Term: highest}
+	}
+	return at
+}
+
 // begin checks the conditions of the Open and takes a connection. The error
 // is a refusal that is not run.
 func (ru *run) begin(ctx context.Context, deadline time.Time) (posn.Position, error) {
@@ -160,6 +172,9 @@
 		return posn.Position{}, err
 	}
 	ru.up = up
+	if up.isLeaving() {
+		return posn.Position{}, codes.Refuse(codes.UpstreamLeaving, "%s", op.Upstream)
+	}
 	if at, err := ru.check(ctx, deadline); err != nil {
 		return at, err
 	}
@@ -169,10 +184,23 @@
 	}
 	ma := ru.ma
 	ma.work.Add(1)
+	isLeading := op.Primary
+	if isLeading {
+		up.leading.Add(1)
+	}
 	ru.release = func() {
 		release()
+		if isLeading {
+			up.leading.Add(-1)
+		}
 		ma.work.Done()
 	}
+	if isLeading && up.handing.Load() {
+		// The hand-over began between the check and the count.
+		ru.setCurrent(co)
+		ru.giveBack()
+		return posn.Position{}, codes.Refuse(codes.NotPrimary, "%s hands over", op.Upstream)
+	}
 	ru.setCurrent(co)
 	return posn.Position{}, nil
 }
--- a/io/home/upstream.go
+++ b/io/home/upstream.go
@@ -51,6 +51,13 @@
 	confirm *confirmer
 	// down is true from a failed dial to the next that works.
 	down atomic.Bool
+	// served is the term that was last seen in service.
+	served atomic.Pointer[posn.Term]
+	// handing is true during a planned change of primary; no new work is taken
+	// for the primary then.
+	handing atomic.Bool
+	// leading counts the requests and transactions in hand at the primary.
+	leading atomic.Int64
 	// lastUsed is when the upstream last served anything, in Unix nanoseconds.
 	lastUsed atomic.Int64
 }
--- a/io/peer/client.go
+++ b/io/peer/client.go
@@ -14,6 +14,7 @@
 	"banyanspring/core/codes"
 	"banyanspring/core/place"
 	"banyanspring/core/posn"
+	"banyanspring/core/promo"
 	"banyanspring/io/wire"
 )
 
@@ -224,6 +225,61 @@
 	return re.Found, nil
 }
 
+// Probe asks a member what an upstream says of itself.
+func (cl *Client) Probe(ctx context.Context, mem place.Member, group, upstream string) (promo.Report, error) {
+	pc, err := cl.peer(mem.Address)
+	if err != nil {
+		return promo.Report{}, unreached(mem, err)
+	}
+	re, err := pc.Probe(ctx, &wire.ProbeRequest{Group: group, Upstream: upstream})
+	if err != nil {
+		return promo.Report{}, unreached(mem, err)
+	}
+	if re.Code != 0 {
+		return promo.Report{}, &codes.Refusal{Code: codes.Code(re.Code), Detail: re.Detail}
+	}
+	return promo.Report{
+		Term:     wire.ToPosition(re.Position).Term,
+		Entry:    wire.ToPosition(re.Entry),
+		Primary:  re.Primary,
+		Received: time.Now().Add(-re.ReceivedAge.AsDuration()),
+	}, nil
+}
+
+// Order passes an order on to the home of an upstream.
+func (cl *Client) Order(ctx context.Context, mem place.Member, rq *wire.OrderRequest) error {
+	pc, err := cl.peer(mem.Address)
+	if err != nil {
+		return unreached(mem, err)
+	}
+	return orderResult(mem, pc.Order, ctx, rq)
+}
+
+// Handover asks the home of a primary for a planned change.
+func (cl *Client) Handover(ctx context.Context, mem place.Member, rq *wire.HandoverRequest) error {
+	pc, err := cl.peer(mem.Address)
+	if err != nil {
+		return unreached(mem, err)
+	}
+	return orderResult(mem, pc.Handover, ctx, rq)
+}
+
+func orderResult[Request any](
+	mem place.Member,
+	call func(context.Context, *Request, ...grpc.CallOption) (*wire.OrderReply, error),
+	ctx context.Context, //nolint:revive // the call it belongs to comes first
+	rq *Request,
+) error {
+	re, err := call(ctx, rq)
+	if err != nil {
+		return unreached(mem, err)
+	}
+	if re.Code != 0 {
+		return &codes.Refusal{Code: codes.Code(re.Code), Detail: re.Detail}
+	}
+	return nil
+}
+
 // Leave tells a member that the sender is leaving.
 func (cl *Client) Leave(ctx context.Context, mem place.Member, sender string) error {
 	pc, err := cl.peer(mem.Address)
--- a/io/peer/server.go
+++ b/io/peer/server.go
@@ -8,6 +8,7 @@
 	"google.golang.org/grpc"
 	"google.golang.org/grpc/backoff"
 	"google.golang.org/grpc/credentials"
+	"google.golang.org/protobuf/types/known/durationpb"
 
 	"banyanspring/core/codes"
 	"banyanspring/core/posn"
@@ -33,6 +34,10 @@
 	Homes *home.Manager
 	// Cancel cancels a session held here and reports whether it was found.
 	Cancel func(pid, secret uint32) bool
+	// Order carries an order out at an upstream that is homed here.
+	Order func(ctx context.Context, rq *wire.OrderRequest) error
+	// Handover runs a planned change of primary.
+	Handover func(ctx context.Context, rq *wire.HandoverRequest) error
 	// Leave notes that a member is leaving.
 	Leave func(member string)
 }
@@ -98,6 +103,39 @@
 	return &wire.CancelReply{Found: se.handlers.Cancel(rq.ProcessId, rq.SecretKey)}, nil
 }
 
+// Probe implements wire.PeerServer.
+func (se *Server) Probe(ctx context.Context, rq *wire.ProbeRequest) (*wire.ProbeReply, error) {
+	re, at, err := se.handlers.Homes.Probe(ctx, rq.Group, rq.Upstream)
+	if err != nil {
+		ref := codes.From(err)
+		return &wire.ProbeReply{Code: uint32(ref.Code), Detail: ref.Detail}, nil
+	}
+	return &wire.ProbeReply{
+		Position:    wire.FromPosition(at),
+		Entry:       wire.FromPosition(re.Entry),
+		Primary:     re.Primary,
+		ReceivedAge: durationpb.New(time.Since(re.Received)),
+	}, nil
+}
+
+// Order implements wire.PeerServer.
+func (se *Server) Order(ctx context.Context, rq *wire.OrderRequest) (*wire.OrderReply, error) {
+	return orderReply(se.handlers.Order(ctx, rq)), nil
+}
+
+// Handover implements wire.PeerServer.
+func (se *Server) Handover(ctx context.Context, rq *wire.HandoverRequest) (*wire.OrderReply, error) {
+	return orderReply(se.handlers.Handover(ctx, rq)), nil
+}
+
+func orderReply(err error) *wire.OrderReply {
+	if err == nil {
+		return &wire.OrderReply{}
+	}
+	ref := codes.From(err)
+	return &wire.OrderReply{Code: uint32(ref.Code), Detail: ref.Detail}
+}
+
 // Leave implements wire.PeerServer.
 func (se *Server) Leave(_ context.Context, rq *wire.LeaveRequest) (*wire.LeaveReply, error) {
 	se.handlers.Leave(rq.Member)
--- a/io/standin/upstr/conn.go
+++ b/io/standin/upstr/conn.go
@@ -331,6 +331,18 @@
 		co.unlock()
 		return nil
 	}
+	return co.se.commit(co)
+}
+
+// commit ends a transaction that writes, repeats it on the committed database
+// and appends it to the log, all in one step towards a change of primary.
+func (se *Server) commit(co *conn) error {
+	se.mu.Lock()
+	defer se.mu.Unlock()
+	if !se.primary {
+		co.rollback()
+		return failWith("25006", "cannot commit: no longer primary")
+	}
 	if _, err := co.work.ExecContext(context.Background(), "COMMIT"); err != nil {
 		co.rollback()
 		return err
@@ -339,19 +351,12 @@
 	if len(co.pending) == 0 {
 		return nil
 	}
-	return co.se.log(co.pending)
-}
-
-// log repeats a commit on the committed database and appends it to the log.
-func (se *Server) log(statements []LoggedStatement) error {
-	se.mu.Lock()
 	te := se.term
-	se.mu.Unlock()
 	en := Entry{
 		TermNumber:  te.Number,
 		TermPrimary: te.Primary,
 		Committed:   time.Now(),
-		Statements:  statements,
+		Statements:  co.pending,
 	}
 	if err := applyEntry(context.Background(), se.committed, en); err != nil {
 		return err
--- a/io/standin/upstr/exec.go
+++ b/io/standin/upstr/exec.go
@@ -13,6 +13,8 @@
 
 	"github.com/jackc/pgx/v5/pgproto3"
 	"github.com/jackc/pgx/v5/pgtype"
+
+	"banyanspring/core/posn"
 )
 
 var (
@@ -24,9 +26,24 @@
 	changePattern    = regexp.MustCompile(`(?i)\b(insert|update|delete)\b`)
 	tablePattern     = regexp.MustCompile(`(?is)\b(?:into|update|from)\s+([a-z_0-9.]+)`)
 	activityPattern  = regexp.MustCompile(`(?i)count\(\*\) FROM pg_stat_activity WHERE pid = (\d+).*$`)
+	promotePattern   = regexp.MustCompile(`(?i)platform_promote\((\d+), '([^']*)', (\d+), '([^']*)'\)`)
+	followPattern    = regexp.MustCompile(`(?i)platform_follow\((\d+), '([^']*)', '([^']*)'\)`)
 	positionPattern  = regexp.MustCompile(`(?i)\bplatform_position\(\)`)
 )
 
+func termOf(number, primary string) posn.Term {
+	num, _ := strconv.ParseUint(number, 10, 64)
+	return posn.Term{Number: num, Primary: primary}
+}
+
+// orderError answers an order that was refused because of the term.
+func orderError(err error) error {
+	if err == nil {
+		return nil
+	}
+	return failWith("55000", err.Error())
+}
+
 // verbOf returns the first word of a statement in upper case.
 func verbOf(text string) string {
 	text = strings.TrimSpace(text)
@@ -68,10 +85,20 @@
 	if found := activityPattern.FindStringSubmatch(text); found != nil {
 		text = "SELECT " + co.se.activity(found[1])
 	}
+	if found := promotePattern.FindStringSubmatch(text); found != nil {
+		err := co.se.Promote(termOf(found[1], found[2]), termOf(found[3], found[4]))
+		return "SELECT 't' AS promoted", orderError(err)
+	}
+	if found := followPattern.FindStringSubmatch(text); found != nil {
+		err := co.se.Follow(termOf(found[1], found[2]), found[3])
+		return "SELECT 't' AS following", orderError(err)
+	}
 	if positionPattern.MatchString(text) {
-		po := co.se.Position()
-		row := fmt.Sprintf("(SELECT %d AS term_number, '%s' AS term_primary, %d AS log_offset, %t AS is_primary)",
-			po.Term.Number, po.Term.Primary, po.Offset, co.se.IsPrimary())
+		po, last := co.se.Position(), co.se.LastEntry()
+		row := fmt.Sprintf("(SELECT %d AS term_number, '%s' AS term_primary, %d AS log_offset, %t AS is_primary, "+
+			"%d AS entry_number, '%s' AS entry_primary, %d AS received_ms)",
+			po.Term.Number, po.Term.Primary, po.Offset, co.se.IsPrimary(),
+			last.Term.Number, last.Term.Primary, co.se.receivedAge().Milliseconds())
 		text = positionPattern.ReplaceAllString(text, row)
 	}
 	text = forUpdatePattern.ReplaceAllString(text, "")
--- a/io/standin/upstr/group.go
+++ b/io/standin/upstr/group.go
@@ -6,6 +6,8 @@
 import (
 	"sync"
 	"time"
+
+	"banyanspring/core/posn"
 )
 
 // Entry is one committed transaction in the log.
@@ -21,6 +23,10 @@
 	Statements []LoggedStatement `json:"statements"`
 }
 
+func (en Entry) term() posn.Term {
+	return posn.Term{Number: en.TermNumber, Primary: en.TermPrimary}
+}
+
 // LoggedStatement is one statement with its arguments in text form.
 type LoggedStatement struct {
 	SQL  string    `json:"sql"`
@@ -47,6 +53,23 @@
 	return en.Offset
 }
 
+// term returns the term of the entry at the offset; false if there is none.
+func (jo *journal) term(offset uint64) (posn.Term, bool) {
+	jo.mu.Lock()
+	defer jo.mu.Unlock()
+	if offset == 0 || offset > uint64(len(jo.entries)) {
+		return posn.Term{}, false
+	}
+	return jo.entries[offset-1].term(), true
+}
+
+// truncate drops the entries past the offset.
+func (jo *journal) truncate(offset uint64) {
+	jo.mu.Lock()
+	defer jo.mu.Unlock()
+	jo.entries = jo.entries[:offset:offset]
+}
+
 func (jo *journal) last() uint64 {
 	jo.mu.Lock()
 	defer jo.mu.Unlock()
--- a/io/standin/upstr/upstr.go
+++ b/io/standin/upstr/upstr.go
@@ -3,11 +3,9 @@
 import (
 	"context"
 	"database/sql"
-	"encoding/json"
 	"fmt"
 	"net"
 	"net/http"
-	"strconv"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -40,9 +38,12 @@
 	StatementCost time.Duration
 	// Lag delays the replay of each log entry.
 	Lag time.Duration
-	// FetchLatency delays each fetch of the log, as the way to the primary
-	// would.
-	FetchLatency time.Duration
+	// Rewinds lets a follower drop entries that its new primary lacks, as some
+	// platforms do by themselves; otherwise it stays out of the term.
+	Rewinds bool
+	// Dial opens connections to the primary's control address; it is a seam
+	// for fleets that simulate the way.
+	Dial func(ctx context.Context, address string) (net.Conn, error)
 }
 
 // Server is a running upstream.
@@ -63,7 +64,12 @@
 	mu      sync.Mutex
 	term    posn.Term
 	primary bool
-	follow  string
+	// follow is the control address of the primary; empty on the primary.
+	follow string
+	// refollow is closed and replaced whenever follow changes.
+	refollow chan struct{}
+	// received is when the primary was last heard of.
+	received time.Time
 	// conns maps process ids to open connections.
 	conns map[uint32]*conn
 
@@ -101,6 +107,12 @@
 		return nil, errors.Wrap(err, "listen for control")
 	}
 	ctx, cancel := context.WithCancel(context.Background())
+	if opts.Dial == nil {
+		var di net.Dialer
+		opts.Dial = func(ctx context.Context, address string) (net.Conn, error) {
+			return di.DialContext(ctx, "tcp", address)
+		}
+	}
 	se := &Server{
 		opts:      opts,
 		work:      work,
@@ -113,6 +125,8 @@
 		term:      posn.Term{Number: 1, Primary: opts.Primary},
 		primary:   opts.Follow == "",
 		follow:    opts.Follow,
+		refollow:  make(chan struct{}),
+		received:  time.Now(),
 		conns:     make(map[uint32]*conn),
 		cancel:    cancel,
 	}
@@ -188,6 +202,64 @@
 	return posn.Position{Term: se.term, Offset: se.journal.last()}
 }
 
+// LastEntry returns the term and offset of the newest log entry.
+func (se *Server) LastEntry() posn.Position {
+	last := se.journal.last()
+	te, _ := se.journal.term(last)
+	return posn.Position{Term: te, Offset: last}
+}
+
+// receivedAge returns how long ago the primary was last heard of; zero on a
+// primary.
+func (se *Server) receivedAge() time.Duration {
+	se.mu.Lock()
+	defer se.mu.Unlock()
+	if se.primary {
+		return 0
+	}
+	return time.Since(se.received)
+}
+
+// rebuild replays the whole log into empty databases.
+func (se *Server) rebuild() error {
+	for _, db := range []*sql.DB{se.work, se.committed} {
+		if err := clearDatabase(db); err != nil {
+			return err
+		}
+	}
+	entries, _ := se.journal.after(0)
+	for _, en := range entries {
+		if err := se.applyBoth(context.Background(), en); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func clearDatabase(db *sql.DB) error {
+	rows, err := db.Query("SELECT name FROM sqlite_master WHERE type = 'table' AND name <> 'standin_meta' AND name NOT LIKE 'sqlite_%'")
+	if err != nil {
+		return err
+	}
+	var names []string
+	for rows.Next() {
+		var name string
+		if err := rows.Scan(&name); err != nil {
+			return err
+		}
+		names = append(names, name)
+	}
+	if err := rows.Close(); err != nil {
+		return err
+	}
+	for _, name := range names {
+		if _, err := db.Exec(`DROP TABLE "` + name + `"`); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
 // IsPrimary reports whether the upstream believes that it leads.
 func (se *Server) IsPrimary() bool {
 	se.mu.Lock()
@@ -226,127 +298,6 @@
 	_ = se.committed.Close()
 }
 
-func (se *Server) startControl(ln net.Listener) {
-	mux := http.NewServeMux()
-	mux.HandleFunc("GET /log", se.serveLog)
-	mux.HandleFunc("POST /lag", func(wr http.ResponseWriter, rq *http.Request) {
-		lag, err := time.ParseDuration(rq.FormValue("lag"))
-		if err != nil {
-			http.Error(wr, err.Error(), http.StatusBadRequest)
-			return
-		}
-		se.SetLag(lag)
-	})
-	mux.HandleFunc("POST /pause", func(_ http.ResponseWriter, rq *http.Request) {
-		se.SetPaused(rq.FormValue("paused") == "true")
-	})
-	mux.HandleFunc("POST /silence", func(http.ResponseWriter, *http.Request) { se.SilenceConnections() })
-	se.control = &http.Server{Handler: mux, ReadHeaderTimeout: time.Minute}
-	go func() { _ = se.control.Serve(ln) }()
-}
-
-// logWait bounds a long poll for log entries.
-const logWait = 5 * time.Second
-
-func (se *Server) serveLog(wr http.ResponseWriter, rq *http.Request) {
-	after, err := strconv.ParseUint(rq.FormValue("after"), 10, 64)
-	if err != nil {
-		http.Error(wr, err.Error(), http.StatusBadRequest)
-		return
-	}
-	timeout := time.After(logWait)
-	for {
-		entries, grown := se.journal.after(after)
-		if len(entries) > 0 {
-			_ = json.NewEncoder(wr).Encode(entries)
-			return
-		}
-		select {
-		case <-grown:
-		case <-timeout:
-			_ = json.NewEncoder(wr).Encode([]Entry{})
-			return
-		case <-rq.Context().Done():
-			return
-		}
-	}
-}
-
-// replicate fetches the primary's log and replays it with the lag.
-func (se *Server) replicate(ctx context.Context) {
-	defer se.wg.Done()
-	if se.follow == "" {
-		return
-	}
-	const retryWait = 50 * time.Millisecond
-	fetched := make(chan Entry, 4096)
-	go se.fetchAll(ctx, fetched, retryWait)
-	for {
-		select {
-		case en := <-fetched:
-			se.replay(ctx, en)
-		case <-ctx.Done():
-			return
-		}
-	}
-}
-
-func (se *Server) fetchAll(ctx context.Context, out chan<- Entry, retryWait time.Duration) {
-	var after uint64
-	for ctx.Err() == nil {
-		entries, err := se.fetch(ctx, after)
-		if err != nil {
-			pause(ctx, retryWait)
-			continue
-		}
-		for _, en := range entries {
-			select {
-			case out <- en:
-				after = en.Offset
-			case <-ctx.Done():
-				return
-			}
-		}
-	}
-}
-
-func (se *Server) fetch(ctx context.Context, after uint64) ([]Entry, error) {
-	url := fmt.Sprintf("http://%s/log?after=%d", se.follow, after)
-	rq, err := http.NewRequestWithContext(ctx, http.MethodGet, url, nil)
-	if err != nil {
-		return nil, err
-	}
-	rs, err := http.DefaultClient.Do(rq)
-	if err != nil {
-		return nil, err
-	}
-	defer func() { _ = rs.Body.Close() }()
-	var entries []Entry
-	return entries, json.NewDecoder(rs.Body).Decode(&entries)
-}
-
-func (se *Server) replay(ctx context.Context, en Entry) {
-	const checkInterval = 5 * time.Millisecond
-	for se.stopped.Load() || se.paused.Load() {
-		if !pause(ctx, checkInterval) {
-			return
-		}
-	}
-	due := en.Committed.Add(time.Duration(se.lag.Load()) + se.opts.FetchLatency)
-	for wait := time.Until(due); wait > 0; wait = time.Until(due) {
-		if !pause(ctx, min(wait, checkInterval)) {
-			return
-		}
-		due = en.Committed.Add(time.Duration(se.lag.Load()) + se.opts.FetchLatency)
-	}
-	for _, db := range []*sql.DB{se.work, se.committed} {
-		if err := applyEntry(ctx, db, en); err != nil && ctx.Err() == nil {
-			panic(fmt.Sprintf("replica %s cannot replay entry %d: %v", se.opts.Name, en.Offset, err))
-		}
-	}
-	se.journal.append(en)
-}
-
 func applyEntry(ctx context.Context, db *sql.DB, en Entry) error {
 	tx, err := db.BeginTx(ctx, nil)
 	if err != nil {
--- a/io/store/object.go
+++ b/io/store/object.go
@@ -58,6 +58,9 @@
 	TermNumber uint64   `json:"term_number"`
 	Primary    string   `json:"primary"`
 	Members    []Member `json:"members"`
+	// Claim identifies the attempt that claimed the term, so that a lost
+	// answer can be read back.
+	Claim string `json:"claim,omitempty"`
 }
 
 // GetMemberByName finds a member of the group.
