Add the scenarios of a changing primary and mend what they showed

Cause: with the primary gone, every request failed until its deadline although a new primary led: a session's floor of the old term is covered by no member of the new one, as it must not be before that term is in service, and nobody asked for a new floor. Questions that ran out of time were told as internal faults, and tests of silent connections found no connection left at the upstream. Change: an answer that tells of a higher term unsettles the session, which asks for a confirmed floor; late questions have a code; silence is tested on the control connection; silent connections between daemons are replaced.

--- a/core/sessn/sessn.go
+++ b/core/sessn/sessn.go
@@ -54,6 +54,14 @@
 	return st
 }
 
+// WithoutSettlement returns a state that asks for a floor again, since its own
+// is of a term that has ended.
+func (st State) WithoutSettlement(now time.Time) State {
+	st.Settled = false
+	st.Arrived = now
+	return st
+}
+
 // WithReadClass returns a state that uses the read class.
 func (st State) WithReadClass(name string) State {
 	st.ReadClass = name
--- a/io/batch/batch.go
+++ b/io/batch/batch.go
@@ -5,6 +5,10 @@
 	"context"
 	"sync"
 	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"banyanspring/core/codes"
 )
 
 // Asker shares each question between all who came before it was sent. One
@@ -13,6 +17,8 @@
 	ask func(ctx context.Context) (T, error)
 	// timeout bounds one question.
 	timeout time.Duration
+	// late is the code of a question that was not answered in time.
+	late codes.Code
 
 	mu      sync.Mutex
 	running *round[T]
@@ -27,9 +33,10 @@
 	asked time.Time
 }
 
-// New returns an asker for the question.
-func New[T any](timeout time.Duration, ask func(ctx context.Context) (T, error)) *Asker[T] {
-	return &Asker[T]{ask: ask, timeout: timeout}
+// New returns an asker for the question; late is the code of the refusal if no
+// answer comes in time.
+func New[T any](timeout time.Duration, late codes.Code, ask func(ctx context.Context) (T, error)) *Asker[T] {
+	return &Asker[T]{ask: ask, timeout: timeout, late: late}
 }
 
 // Ask returns an answer to a question that was sent after Ask was called, and
@@ -38,11 +45,19 @@
 	ro := as.join()
 	select {
 	case <-ro.done:
-		return ro.val, ro.asked, ro.err
+		return ro.val, ro.asked, as.named(ro.err)
 	case <-ctx.Done():
 		var zero T
-		return zero, time.Time{}, ctx.Err()
+		return zero, time.Time{}, as.named(ctx.Err())
+	}
+}
+
+// named turns the end of a context into a refusal.
+func (as *Asker[T]) named(err error) error {
+	if errors.Is(err, context.DeadlineExceeded) || errors.Is(err, context.Canceled) {
+		return codes.Refuse(as.late, "no answer in time")
 	}
+	return err
 }
 
 func (as *Asker[T]) join() *round[T] {
--- a/io/daemon/plugins.go
+++ b/io/daemon/plugins.go
@@ -13,6 +13,7 @@
 	"google.golang.org/grpc/credentials/insecure"
 	"google.golang.org/protobuf/types/known/durationpb"
 
+	"banyanspring/core/codes"
 	"banyanspring/core/event"
 	"banyanspring/core/kernl"
 	"banyanspring/core/life"
@@ -95,13 +96,13 @@
 }
 
 // floorTimeout bounds one question for an arrival floor.
-const floorTimeout = 2 * time.Second
+const floorTimeout = time.Second
 
 func (fa *floorAskers) ask(ctx context.Context, gr store.Group) (posn.Position, time.Time, error) {
 	fa.mu.Lock()
 	as := fa.askers[gr.Name]
 	if as == nil {
-		as = batch.New(floorTimeout, func(ctx context.Context) (posn.Position, error) {
+		as = batch.New(floorTimeout, codes.NoMajority, func(ctx context.Context) (posn.Position, error) {
 			now, ok := fa.ho.groups.Get(gr.Name)
 			if !ok {
 				now = gr
@@ -145,6 +146,7 @@
 func (ho *Host) trim() {
 	for pause(ho.background, trimEvery) {
 		ho.client.Trim(ho.seams.Now())
+		ho.client.Test(ho.background)
 		ho.homes.Trim(func(mem store.Member) bool { return ho.isSelf(ho.homeOf(mem)) })
 	}
 }
--- /dev/null
+++ b/io/fleet/fault.go
@@ -0,0 +1,47 @@
+package fleet
+
+import (
+	"banyanspring/io/standin/upstr"
+)
+
+// CutOff cuts a place off from all others, the platform included, or joins it
+// again. Connections that lost bytes stay silent.
+func (fl *Fleet) CutOff(pl Place, isCut bool) {
+	for _, other := range fl.opts.Places {
+		if other != pl {
+			fl.Path(pl, other).SetSilent(isCut)
+		}
+	}
+}
+
+// SilencePaths makes the open connections between all places silent for good;
+// new ones work.
+func (fl *Fleet) SilencePaths() {
+	fl.mu.Lock()
+	defer fl.mu.Unlock()
+	for _, path := range fl.paths {
+		path.SilenceOpen()
+	}
+}
+
+// Primary returns the upstream that leads a database's group with the highest
+// term.
+func (fl *Fleet) Primary(service, database int) *upstr.Server {
+	var best *upstr.Server
+	for _, up := range fl.Groups[GroupName(service, database)] {
+		if !up.IsPrimary() {
+			continue
+		}
+		if best == nil || up.Position().Term.Compare(best.Position().Term) > 0 {
+			best = up
+		}
+	}
+	return best
+}
+
+// PlaceOfUpstream returns where an upstream stands.
+func (fl *Fleet) PlaceOfUpstream(up *upstr.Server) Place {
+	fl.mu.Lock()
+	defer fl.mu.Unlock()
+	return fl.places[up.Address()]
+}
--- a/io/front/run.go
+++ b/io/front/run.go
@@ -338,6 +338,9 @@
 	}
 	if te := wire.ToPosition(end.GetPosition()).Term; te != (posn.Term{}) {
 		rq.se.front.cluster.Learn(rq.group.Name, te)
+		if te.Compare(rq.se.state.Floor.Term) > 0 {
+			rq.se.state = rq.se.state.WithoutSettlement(now)
+		}
 	}
 	if up.Primary {
 		rq.board.refresh(now, func() { rq.se.front.cluster.Refresh(rq.group) })
--- a/io/home/fresh.go
+++ b/io/home/fresh.go
@@ -34,7 +34,7 @@
 
 func newFreshness(up *Upstream) *freshness {
 	fr := &freshness{up: up}
-	fr.asker = batch.New(questionTimeout, func(ctx context.Context) (posn.Position, error) {
+	fr.asker = batch.New(questionTimeout, codes.NoMajority, func(ctx context.Context) (posn.Position, error) {
 		taken := up.now()
 		gr, ok := up.view()
 		if !ok {
--- a/io/home/key.go
+++ b/io/home/key.go
@@ -107,7 +107,7 @@
 	if err := CheckRequestKey(jo.un.RequestKey, jo.ru.ma.now(), age); err != nil {
 		return unitDone{}, err
 	}
-	_ = jo.ru.co.net.SetDeadline(jo.deadline)
+	_ = jo.ru.co.net.SetDeadline(jo.patience())
 	isNew, err := jo.claim()
 	if err != nil {
 		return unitDone{}, jo.abort(err)
@@ -121,6 +121,20 @@
 	return jo.work(ctx)
 }
 
+// patience is when the system's own statements of a keyed request are given
+// up: a repeat is safe, and a silent connection must not hold it up.
+func (jo *unitJob) patience() time.Time {
+	limit := jo.ru.ma.now().Add(keyPatience * jo.ru.ma.settings.SilentAfter)
+	if jo.deadline.Before(limit) {
+		return jo.deadline
+	}
+	return limit
+}
+
+// keyPatience is how many times the time after which a connection counts as
+// silent a keyed request waits, as the first request with its key may run still.
+const keyPatience = 2
+
 // claim opens a transaction and inserts the key; false says that it was there.
 func (jo *unitJob) claim() (bool, error) {
 	isNew, err := jo.tryClaim()
@@ -243,7 +257,7 @@
 }
 
 func (jo *unitJob) commit(kept *keptAnswer) (unitDone, error) {
-	_ = jo.ru.co.net.SetDeadline(jo.deadline)
+	_ = jo.ru.co.net.SetDeadline(jo.patience())
 	query := fmt.Sprintf(updateKey, quote(kept.outcome()), quote(jo.ru.open.Caller), quote(jo.un.RequestKey))
 	if err := jo.exec(query); err != nil {
 		return unitDone{}, jo.abort(err)
--- a/io/home/run.go
+++ b/io/home/run.go
@@ -218,7 +218,7 @@
 		return ru.up.awaitFresh(ctx, floor, op.MaxAge.AsDuration(), limit)
 	}
 	got, err := ru.up.lead(ctx)
-	if err != nil || got.position.Covers(floor, false) {
+	if err != nil || got.position.Covers(floor, true) {
 		return got.position, err
 	}
 	return ru.up.awaitFloor(ctx, floor, limit)
--- a/io/home/upstream.go
+++ b/io/home/upstream.go
@@ -68,7 +68,10 @@
 const controlConnections = 2
 
 // questionTimeout bounds the home's own questions to an upstream.
-const questionTimeout = 2 * time.Second
+const questionTimeout = time.Second
+
+// floorTimeout bounds one wait for a majority to confirm a floor.
+const floorTimeout = time.Second
 
 func newUpstream(ma *Manager, group store.Group, member store.Member) *Upstream {
 	up := &Upstream{
@@ -90,8 +93,8 @@
 		slots:       newGate(max(1, member.Slots), ma.settings.QueueTotal, ma.now),
 	}
 	up.control = &control{up: up}
-	up.reports = batch.New(questionTimeout, up.control.ask)
-	up.floors = batch.New(ma.settings.ConfirmTimeout, up.confirmFloor)
+	up.reports = batch.New(questionTimeout, codes.UpstreamUnreached, up.control.ask)
+	up.floors = batch.New(floorTimeout, codes.NoMajority, up.confirmFloor)
 	up.fresh = newFreshness(up)
 	up.confirm = newConfirmer(up, confm.New(len(group.Members)))
 	return up
@@ -253,18 +256,18 @@
 	}()
 }
 
-// isActive asks over a new connection whether the upstream still works for an
-// old one.
+// isActive asks whether the upstream still works for a connection. It asks on
+// the control connection: the upstream may have none left for a new one.
 func (up *Upstream) isActive(ctx context.Context, pid uint32) (bool, error) {
 	ctx, cancel := context.WithTimeout(ctx, questionTimeout)
 	defer cancel()
-	co, err := up.dialer.open(ctx)
-	if err != nil {
-		return false, err
-	}
-	defer co.close()
-	deadline, _ := ctx.Deadline()
-	return co.isActive(pid, deadline)
+	var active bool
+	err := up.control.use(ctx, func(co *conn, deadline time.Time) error {
+		var err error
+		active, err = co.isActive(pid, deadline)
+		return err
+	})
+	return active, err
 }
 
 // note remembers a position that the upstream reported.
@@ -294,25 +297,37 @@
 
 // ask returns the upstream's position.
 func (cn *control) ask(ctx context.Context) (report, error) {
+	var got report
+	err := cn.use(ctx, func(co *conn, deadline time.Time) error {
+		var err error
+		got, err = co.report(deadline)
+		return err
+	})
+	if err != nil {
+		return report{}, err
+	}
+	cn.up.note(got)
+	return got, nil
+}
+
+// use runs a question on the control connection, which is opened if need be.
+func (cn *control) use(ctx context.Context, question func(co *conn, deadline time.Time) error) error {
 	cn.mu.Lock()
 	defer cn.mu.Unlock()
-	deadline, _ := ctx.Deadline()
 	if cn.co == nil {
 		co, err := cn.up.dialer.open(ctx)
+		cn.up.noteReach(err)
 		if err != nil {
-			cn.up.noteReach(err)
-			return report{}, err
+			return err
 		}
-		cn.up.noteReach(nil)
 		cn.co = co
 	}
-	got, err := cn.co.report(deadline)
-	if err != nil {
+	deadline, _ := ctx.Deadline()
+	if err := question(cn.co, deadline); err != nil {
 		cn.drop()
-		return report{}, codes.Refuse(codes.UpstreamUnreached, "%v", err)
+		return codes.Refuse(codes.UpstreamUnreached, "%v", err)
 	}
-	cn.up.note(got)
-	return got, nil
+	return nil
 }
 
 // drop forgets the connection and what it reported: an upstream that comes
--- a/io/link/link.go
+++ b/io/link/link.go
@@ -16,6 +16,8 @@
 type Path struct {
 	latency atomic.Int64
 	silent  atomic.Bool
+	// silenced counts SilenceOpen; connections opened before it are silent.
+	silenced atomic.Int64
 }
 
 // NewPath returns an open path with a one-way latency.
@@ -29,6 +31,9 @@
 // that lost bytes stay silent for good.
 func (pa *Path) SetSilent(silent bool) { pa.silent.Store(silent) }
 
+// SilenceOpen makes the open connections silent for good; new ones work.
+func (pa *Path) SilenceOpen() { pa.silenced.Add(1) }
+
 // IsSilent reports whether the path swallows bytes.
 func (pa *Path) IsSilent() bool { return pa.silent.Load() }
 
@@ -45,7 +50,9 @@
 // Conn delays the bytes of a connection by the path's latency each way.
 type Conn struct {
 	net.Conn
-	path    *Path
+	path *Path
+	// opened is the path's count of SilenceOpen when the connection was made.
+	opened  int64
 	pending chan packet
 	arrived chan packet
 	// rest is what a short Read left of a packet.
@@ -71,6 +78,7 @@
 	co := &Conn{
 		Conn:    conn,
 		path:    path,
+		opened:  path.silenced.Load(),
 		pending: make(chan packet, maxPending),
 		arrived: make(chan packet, maxPending),
 		done:    make(chan struct{}),
@@ -115,7 +123,7 @@
 
 // swallows reports whether the connection has lost bytes, now or before.
 func (co *Conn) swallows() bool {
-	if co.path.IsSilent() {
+	if co.path.IsSilent() || co.path.silenced.Load() != co.opened {
 		co.lost.Store(true)
 	}
 	return co.lost.Load()
--- a/io/load/load.go
+++ b/io/load/load.go
@@ -36,6 +36,9 @@
 	began    time.Time
 	deadline time.Time
 
+	// FaultNames are the faults that the seed chose.
+	FaultNames []string
+
 	mu sync.Mutex
 	// faultAt is when the scenario made the primary fail; zero if it did not.
 	faultAt  time.Time
--- a/io/load/result.go
+++ b/io/load/result.go
@@ -9,9 +9,6 @@
 	"github.com/HdrHistogram/hdrhistogram-go"
 	"github.com/cockroachdb/errors"
 	"github.com/jackc/pgx/v5"
-
-	"banyanspring/io/fleet"
-	"banyanspring/io/standin/upstr"
 )
 
 // Result is what one run measured. Latencies are in milliseconds.
@@ -41,6 +38,9 @@
 	WriteP99Millis    float64        `json:"write_p99_ms"`
 	MaxWriteGapMillis float64        `json:"max_write_gap_ms"`
 	PeakConnections   int64          `json:"peak_connections"`
+	WorstAnswerMillis float64        `json:"worst_answer_ms"`
+	Promotions        uint64         `json:"promotions"`
+	Faults            []string       `json:"faults,omitempty"`
 	Callers           []CallerResult `json:"callers"`
 	Samples           []string       `json:"error_samples,omitempty"`
 	Baseline          *Result        `json:"baseline,omitempty"`
@@ -93,11 +93,15 @@
 		Seed:     ru.Options.Seed,
 		Seconds:  time.Since(ru.began).Seconds(),
 		timeline: ru.timeline,
+		Faults:   ru.FaultNames,
+	}
+	if up := ru.Fleet.Primary(0, 0); up != nil {
+		re.Promotions = up.Position().Term.Number - 1
 	}
 	ru.addWorkers(re)
 	ru.addReads(re)
 	if fault := ru.fault(); !fault.IsZero() {
-		re.FailoverGapMillis = ru.timeline.gapAfter(fault)
+		re.FailoverGapMillis = ru.timeline.gapAfter(fault, ru.deadline)
 	}
 	re.MaxWriteGapMillis = ru.timeline.maxGap()
 	return re, ru.verify(ctx, re)
@@ -163,6 +167,7 @@
 	re.Requests += wo.requests
 	re.ReadYourWrites += wo.violations
 	re.MixedAnswers += wo.mixed
+	re.WorstAnswerMillis = max(re.WorstAnswerMillis, float64(wo.worst.Microseconds())/1000)
 	re.CutRequests += wo.counts[outcomeCut]
 	re.Refused += wo.counts[outcomeNotRun]
 	re.Unknown += wo.counts[outcomeUnknown]
@@ -195,7 +200,7 @@
 func (ru *Run) verify(ctx context.Context, re *Result) error {
 	held := make(map[string]int64)
 	for service := range ru.Options.Fleet.Services {
-		up := currentPrimary(ru.Fleet, service)
+		up := ru.Fleet.Primary(service, 0)
 		counts, err := up.CountBy(ctx, "SELECT request, count(*) FROM bookings GROUP BY request")
 		if err != nil {
 			return errors.Wrap(err, "verify")
@@ -226,20 +231,6 @@
 	}
 }
 
-// currentPrimary returns the upstream that leads with the highest term.
-func currentPrimary(fl *fleet.Fleet, service int) *upstr.Server {
-	var best *upstr.Server
-	for _, up := range fl.Groups[fleet.GroupName(service, 0)] {
-		if !up.IsPrimary() {
-			continue
-		}
-		if best == nil || up.Position().Term.Compare(best.Position().Term) > 0 {
-			best = up
-		}
-	}
-	return best
-}
-
 // timeline counts requests by time, for gaps and plots.
 type timeline struct {
 	began time.Time
@@ -270,15 +261,20 @@
 	ti.slots[slot][told]++
 }
 
-// gapAfter returns the time in milliseconds from the fault to the next
-// acknowledged write, or -1 if there was none.
-func (ti *timeline) gapAfter(fault time.Time) float64 {
+// gapAfter returns the longest time in milliseconds without an acknowledged
+// write from the fault to the end. Writes that were on their way when the fault
+// came do not end the gap.
+func (ti *timeline) gapAfter(fault, end time.Time) float64 {
+	var longest time.Duration
+	last := fault
 	for _, at := range ti.writes {
 		if at.After(fault) {
-			return float64(at.Sub(fault).Microseconds()) / 1000
+			longest = max(longest, at.Sub(last))
+			last = at
 		}
 	}
-	return -1
+	longest = max(longest, end.Sub(last))
+	return float64(longest.Microseconds()) / 1000
 }
 
 // maxGap returns the longest time without an acknowledged write.
--- a/io/load/worker.go
+++ b/io/load/worker.go
@@ -67,7 +67,9 @@
 	// earlier holds the measurements of the first phase.
 	earlier    *worker
 	violations int64
-	mixed      int64
+	// worst is the longest that the worker waited to hear anything.
+	worst time.Duration
+	mixed int64
 	// samples are messages of errors, for the report.
 	samples []string
 }
@@ -191,6 +193,7 @@
 
 func (wo *worker) finish(told outcome, hist *hdrhistogram.Histogram, began time.Time) {
 	wo.counts[told]++
+	wo.worst = max(wo.worst, time.Since(began))
 	if told == outcomeDone {
 		_ = hist.RecordValue(max(1, time.Since(began).Microseconds()))
 	}
--- a/io/peer/client.go
+++ b/io/peer/client.go
@@ -6,6 +6,7 @@
 	"context"
 	"net"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"google.golang.org/grpc"
@@ -47,7 +48,7 @@
 	dial  func(ctx context.Context, address string) (net.Conn, error)
 
 	mu    sync.Mutex
-	conns map[string]*grpc.ClientConn
+	conns map[string]*link
 	// idle holds released streams by address, the last used at the end.
 	idle map[string][]idleStream
 }
@@ -69,30 +70,51 @@
 	creds credentials.TransportCredentials,
 	dial func(ctx context.Context, address string) (net.Conn, error),
 ) *Client {
-	return &Client{creds: creds, dial: dial, conns: make(map[string]*grpc.ClientConn), idle: make(map[string][]idleStream)}
+	return &Client{creds: creds, dial: dial, conns: make(map[string]*link), idle: make(map[string][]idleStream)}
 }
 
-func (cl *Client) peer(address string) (wire.PeerClient, error) {
+// link is the connection to one peer.
+type link struct {
+	conn *grpc.ClientConn
+	// active counts the streams in use.
+	active atomic.Int64
+	// testing is true while a ping is under way.
+	testing atomic.Bool
+}
+
+func (cl *Client) connect(address string) (*grpc.ClientConn, error) {
+	return grpc.NewClient("passthrough:///"+address,
+		grpc.WithTransportCredentials(cl.creds),
+		grpc.WithContextDialer(cl.dial),
+		grpc.WithIdleTimeout(idleTimeout),
+		grpc.WithInitialWindowSize(windowBytes),
+		grpc.WithInitialConnWindowSize(4*windowBytes),
+		grpc.WithDefaultCallOptions(grpc.MaxCallRecvMsgSize(maxMessageBytes)),
+		grpc.WithConnectParams(connectParams()),
+	)
+}
+
+func (cl *Client) link(address string) (*link, error) {
 	cl.mu.Lock()
 	defer cl.mu.Unlock()
-	cc := cl.conns[address]
-	if cc == nil {
-		var err error
-		cc, err = grpc.NewClient("passthrough:///"+address,
-			grpc.WithTransportCredentials(cl.creds),
-			grpc.WithContextDialer(cl.dial),
-			grpc.WithIdleTimeout(idleTimeout),
-			grpc.WithInitialWindowSize(windowBytes),
-			grpc.WithInitialConnWindowSize(4*windowBytes),
-			grpc.WithDefaultCallOptions(grpc.MaxCallRecvMsgSize(maxMessageBytes)),
-			grpc.WithConnectParams(connectParams()),
-		)
-		if err != nil {
-			return nil, err
-		}
-		cl.conns[address] = cc
+	if li := cl.conns[address]; li != nil {
+		return li, nil
+	}
+	cc, err := cl.connect(address)
+	if err != nil {
+		return nil, err
 	}
-	return wire.NewPeerClient(cc), nil
+	li := &link{conn: cc}
+	cl.conns[address] = li
+	return li, nil
+}
+
+func (cl *Client) peer(address string) (wire.PeerClient, error) {
+	li, err := cl.link(address)
+	if err != nil {
+		return nil, err
+	}
+	return wire.NewPeerClient(li.conn), nil
 }
 
 // Connections returns how many peers are connected.
@@ -106,8 +128,8 @@
 func (cl *Client) Close() {
 	cl.mu.Lock()
 	defer cl.mu.Unlock()
-	for _, cc := range cl.conns {
-		_ = cc.Close()
+	for _, li := range cl.conns {
+		_ = li.conn.Close()
 	}
 }
 
@@ -119,20 +141,22 @@
 // Run opens a Run stream to a member; it lives until it is closed. The error
 // is a refusal that is not run.
 func (cl *Client) Run(mem place.Member) (Stream, error) {
-	pc, err := cl.peer(mem.Address)
+	li, err := cl.link(mem.Address)
 	if err != nil {
 		return Stream{}, unreached(mem, err)
 	}
 	ctx, cancel := context.WithCancel(context.Background())
-	st, err := pc.Run(ctx)
+	st, err := wire.NewPeerClient(li.conn).Run(ctx)
 	if err != nil {
 		cancel()
 		return Stream{}, unreached(mem, err)
 	}
-	closeStream := func() {
+	li.active.Add(1)
+	closeStream := sync.OnceFunc(func() {
+		li.active.Add(-1)
 		_ = st.CloseSend()
 		cancel()
-	}
+	})
 	out := Stream{Send: st.Send, Recv: st.Recv, Close: closeStream}
 	out.Release = func() { cl.release(mem.Address, out) }
 	return out, nil
--- a/io/peer/server.go
+++ b/io/peer/server.go
@@ -136,6 +136,11 @@
 	return &wire.OrderReply{Code: uint32(ref.Code), Detail: ref.Detail}
 }
 
+// Ping implements wire.PeerServer.
+func (se *Server) Ping(context.Context, *wire.PingRequest) (*wire.PingReply, error) {
+	return &wire.PingReply{}, nil
+}
+
 // Leave implements wire.PeerServer.
 func (se *Server) Leave(_ context.Context, rq *wire.LeaveRequest) (*wire.LeaveReply, error) {
 	se.handlers.Leave(rq.Member)
