Let an isolated old primary confirm no floor

Cause: the home of a primary confirmed floors with the reports that it had gathered for earlier writes. A primary that was cut off had them too, so it handed out a floor from before the failover, and a session that roamed to its side did not read its own writes. Change: a floor counts only after a majority said, asked after the question, that it is in the primary's term; reads at a primary prove their age as those at a replica do; queued work is refused once a newer term is known. Before: TestIsolatedOldPrimaryServesNothingStale read 1 order of 2 from the old primary. After: it and the other failover tests pass.

--- a/core/conf/home.go
+++ b/core/conf/home.go
@@ -26,7 +26,7 @@
 func parseHome(re *reader) Home {
 	return Home{
 		DialTimeout:             re.span("dial_timeout", 2*time.Second, 10*time.Millisecond, time.Minute),
-		SilentAfter:             re.span("silent_after", time.Second, 10*time.Millisecond, time.Minute),
+		SilentAfter:             re.span("silent_after", 500*time.Millisecond, 10*time.Millisecond, time.Minute),
 		CancelGrace:             re.span("cancel_grace", time.Second, 10*time.Millisecond, time.Minute),
 		ConfirmTimeout:          re.span("confirm_timeout", 5*time.Second, 10*time.Millisecond, time.Minute),
 		IdleConnection:          re.span("idle_connection", 5*time.Minute, time.Second, 24*time.Hour),
--- a/io/daemon/guards.go
+++ b/io/daemon/guards.go
@@ -37,7 +37,7 @@
 	// maxProbes bounds the probes of one member under way.
 	maxProbes = 8
 	// claimTimeout bounds the claim in the store; it goes on without.
-	claimTimeout = time.Second
+	claimTimeout = 500 * time.Millisecond
 	// smoothing is the weight of a new sample of the round trip.
 	smoothing = 0.125
 	// rewriteEvery is the time between two tries to write a term that was
@@ -347,8 +347,8 @@
 	next := withTerm(kn.Group, te)
 	next.Claim = uuid.NewString()
 	_, err := ho.store.Put(ctx, store.KindGroup, gr.Name, kn.version, next)
-	if err == nil {
-		return nil
+	if err == nil || ctx.Err() != nil {
+		return err
 	}
 	obj, readErr := ho.store.Get(ctx, store.KindGroup, gr.Name)
 	if readErr != nil {
--- a/io/daemon/host.go
+++ b/io/daemon/host.go
@@ -277,6 +277,15 @@
 	return at, err
 }
 
+// askPosition asks the home of a member for its position as of now.
+func (ho *Host) askPosition(ctx context.Context, gr store.Group, mem store.Member) (posn.Position, error) {
+	got := ho.homeOf(mem)
+	if ho.isSelf(got) {
+		return ho.homes.AskPosition(ctx, gr.Name, mem.Name)
+	}
+	return ho.client.AskPosition(ctx, got, gr.Name, mem.Name)
+}
+
 // awaitPosition asks the home of a member.
 func (ho *Host) awaitPosition(ctx context.Context, gr store.Group, mem store.Member, want posn.Position, wait time.Duration) (posn.Position, error) {
 	got := ho.homeOf(mem)
--- a/io/daemon/plugins.go
+++ b/io/daemon/plugins.go
@@ -121,6 +121,7 @@
 	ho.client = peer.NewClient(creds, ho.seams.DialPeer)
 	ho.homes = home.New(ho.Settings.Home, ho.Log, ho.seams.Now, ho.seams.DialUpstream, ho.groups.Get, home.Peers{
 		AwaitPosition: ho.awaitPosition,
+		AskPosition:   ho.askPosition,
 		ConfirmFloor:  ho.confirmFloor,
 	}, ho.seams.Share)
 	ho.floors = &floorAskers{ho: ho, askers: make(map[string]*batch.Asker[posn.Position])}
--- a/io/front/run.go
+++ b/io/front/run.go
@@ -369,7 +369,7 @@
 		QueueLimit:      uint32(lim.QueuePerCaller),
 		TransactionIdle: durationpb.New(lim.TransactionIdle.Duration()),
 	}
-	if !primary {
+	if rq.un.isRead() && rq.class.MaxAge > 0 {
 		op.MaxAge = durationpb.New(rq.class.MaxAge.Duration())
 	}
 	return op
--- a/io/home/confirm.go
+++ b/io/home/confirm.go
@@ -178,7 +178,9 @@
 	return ""
 }
 
-// confirmFloor asks the primary for its position and waits for a majority.
+// confirmFloor returns the primary's position once a majority has said, after
+// this question, that it is in the primary's term. Earlier reports do not count:
+// an isolated old primary has them too.
 func (up *Upstream) confirmFloor(ctx context.Context) (posn.Position, error) {
 	got, _, err := up.reports.Ask(ctx)
 	if err != nil {
@@ -187,9 +189,49 @@
 	if !got.primary {
 		return posn.Position{}, codes.Refuse(codes.NotPrimary, "%s", up.member.Name)
 	}
-	deadline, _ := ctx.Deadline()
-	if err := up.confirm.await(ctx, got.position, deadline); err != nil {
-		return posn.Position{}, codes.Refuse(codes.NoMajority, "%v", err)
+	if err := up.inService(ctx, got); err != nil {
+		return posn.Position{}, err
+	}
+	if !up.askMajority(ctx, got.position) {
+		return posn.Position{}, codes.Refuse(codes.NoMajority, "no majority is in term %d of %s", got.position.Term.Number, got.position.Term.Primary)
 	}
 	return got.position, nil
 }
+
+// askMajority asks all other members whether they are in the term of the
+// position, and reports whether a majority is, the primary included. A member
+// in the term need not have reached the offset: what was acknowledged up to it
+// is on a majority already, and a read waits for the offset by itself.
+func (up *Upstream) askMajority(ctx context.Context, at posn.Position) bool {
+	gr, ok := up.view()
+	if !ok {
+		return false
+	}
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	answers := make(chan bool, len(gr.Members))
+	for _, mem := range gr.Members {
+		if mem.Name != up.member.Name {
+			go func() { answers <- up.askInTerm(ctx, gr, mem, at.Term) }()
+		}
+	}
+	inTerm := 1
+	for range len(gr.Members) - 1 {
+		if inTerm >= len(gr.Members)/2+1 {
+			return true
+		}
+		if <-answers {
+			inTerm++
+		}
+	}
+	return inTerm >= len(gr.Members)/2+1
+}
+
+func (up *Upstream) askInTerm(ctx context.Context, gr store.Group, mem store.Member, te posn.Term) bool {
+	got, err := up.peers.AskPosition(ctx, gr, mem)
+	if err != nil {
+		return false
+	}
+	up.confirm.report(mem.Name, got)
+	return got.Term == te
+}
--- a/io/home/exec.go
+++ b/io/home/exec.go
@@ -106,12 +106,17 @@
 		ex.up.cancelAsync(ex.co)
 		return nil
 	}
+	if ex.up.isSuperseded() {
+		return errors.New("upstream no longer leads and does not answer")
+	}
 	active, err := ex.up.isActive(ctx, ex.co.pid)
 	if err != nil || active {
 		// A whole upstream out of reach is no proof against this connection.
 		return nil
 	}
 	event.Log(ex.up.log, event.ConnectionSilent, "upstream", ex.up.member.Name, "pid", ex.co.pid)
+	// What cut this connection may have cut the idle ones as well.
+	ex.up.dropIdle()
 	return errors.New("connection fell silent")
 }
 
--- a/io/home/fresh.go
+++ b/io/home/fresh.go
@@ -116,8 +116,8 @@
 // than what others acknowledged.
 func (up *Upstream) inService(ctx context.Context, got report) error {
 	te := got.position.Term
-	if highest := up.confirm.highest(); highest.Compare(te) > 0 {
-		return codes.Refuse(codes.NotPrimary, "term %d of %s is newer", highest.Number, highest.Primary)
+	if newest := up.newestTerm(); newest.Compare(te) > 0 {
+		return codes.Refuse(codes.NotPrimary, "term %d of %s is newer", newest.Number, newest.Primary)
 	}
 	if served := up.served.Load(); served != nil && *served == te {
 		return nil
@@ -133,6 +133,20 @@
 	return nil
 }
 
+// newestTerm returns the newest term of the group that is known here.
+func (up *Upstream) newestTerm() posn.Term {
+	newest := up.confirm.highest()
+	gr, ok := up.view()
+	if !ok {
+		return newest
+	}
+	known := posn.Term{Number: gr.TermNumber, Primary: gr.Primary}
+	if known.Compare(newest) > 0 {
+		return known
+	}
+	return newest
+}
+
 // serviceWait bounds the wait for a majority to join a term.
 const serviceWait = 500 * time.Millisecond
 
@@ -171,6 +185,12 @@
 	if err != nil {
 		return at, err
 	}
+	return up.awaitAge(ctx, at, maxAge, limit)
+}
+
+// awaitAge returns nil once data at the position is known to be no older than
+// the age given.
+func (up *Upstream) awaitAge(ctx context.Context, at posn.Position, maxAge time.Duration, limit time.Time) (posn.Position, error) {
 	age := up.now().Sub(up.fresh.asOf(at))
 	if age*refreshShare > maxAge {
 		up.fresh.refresh()
--- a/io/home/home.go
+++ b/io/home/home.go
@@ -21,6 +21,8 @@
 type Peers struct {
 	// AwaitPosition asks the home of a member for its position.
 	AwaitPosition func(ctx context.Context, gr store.Group, mem store.Member, want posn.Position, wait time.Duration) (posn.Position, error)
+	// AskPosition asks the home of a member for its position as of now.
+	AskPosition func(ctx context.Context, gr store.Group, mem store.Member) (posn.Position, error)
 	// ConfirmFloor asks the home of the primary for a confirmed position.
 	ConfirmFloor func(ctx context.Context, gr store.Group, wait time.Duration) (posn.Position, error)
 }
@@ -104,6 +106,16 @@
 	return up.awaitPosition(ctx, want, ma.now().Add(wait))
 }
 
+// AskPosition returns an upstream's position, asked for after the call.
+func (ma *Manager) AskPosition(ctx context.Context, group, name string) (posn.Position, error) {
+	up, err := ma.upstream(group, name)
+	if err != nil {
+		return posn.Position{}, err
+	}
+	got, _, err := up.reports.Ask(ctx)
+	return got.position, err
+}
+
 // ConfirmFloor returns a position of the primary that a majority confirmed
 // after the call.
 func (ma *Manager) ConfirmFloor(ctx context.Context, group, name string) (posn.Position, error) {
--- a/io/home/run.go
+++ b/io/home/run.go
@@ -151,8 +151,8 @@
 	if ru.up == nil {
 		return at
 	}
-	if highest := ru.up.confirm.highest(); highest.Compare(at.Term) > 0 {
-		return posn.Position{Term: highest}
+	if newest := ru.up.newestTerm(); newest.Compare(at.Term) > 0 {
+		return posn.Position{Term: newest}
 	}
 	return at
 }
@@ -218,10 +218,17 @@
 		return ru.up.awaitFresh(ctx, floor, op.MaxAge.AsDuration(), limit)
 	}
 	got, err := ru.up.lead(ctx)
-	if err != nil || got.position.Covers(floor, true) {
+	if err != nil {
 		return got.position, err
 	}
-	return ru.up.awaitFloor(ctx, floor, limit)
+	if !got.position.Covers(floor, true) {
+		return ru.up.awaitFloor(ctx, floor, limit)
+	}
+	if op.MaxAge == nil {
+		return got.position, nil
+	}
+	// An isolated old primary must not serve reads older than tolerated.
+	return ru.up.awaitAge(ctx, got.position, op.MaxAge.AsDuration(), limit)
 }
 
 func (ru *run) item(deadline time.Time) admit.Item {
@@ -247,6 +254,12 @@
 		}
 		return nil, err
 	}
+	if ru.open.Primary && !inTransaction && ru.up.isSuperseded() {
+		// The change of primary came while the unit waited for its slot.
+		unlock()
+		ru.giveBack()
+		return nil, codes.Refuse(codes.NotPrimary, "%s no longer leads", ru.up.member.Name)
+	}
 	si := &sink{send: ru.st.Send, hold: un.Completion == wire.Completion_COMPLETION_MAJORITY}
 	job := &unitJob{ru: ru, un: un, si: si, deadline: deadline, inTransaction: inTransaction}
 	done, err := job.run(ctx)
--- a/io/home/upstream.go
+++ b/io/home/upstream.go
@@ -203,6 +203,20 @@
 	}
 }
 
+// dropIdle closes the idle connections.
+func (up *Upstream) dropIdle() {
+	for co := up.pop(); co != nil; co = up.pop() {
+		co.doubt = true
+		co.close()
+	}
+}
+
+// isSuperseded reports whether a newer term is known than the upstream's.
+func (up *Upstream) isSuperseded() bool {
+	got := up.known.Load()
+	return got != nil && up.newestTerm().Compare(got.position.Term) > 0
+}
+
 // shed closes idle connections, and those in use when they come back. The
 // control connection is opened again when somebody asks.
 func (up *Upstream) shed() {
@@ -310,10 +324,24 @@
 	return got, nil
 }
 
+// controlPatience bounds the wait on a control connection that was open before.
+const controlPatience = 300 * time.Millisecond
+
 // use runs a question on the control connection, which is opened if need be.
 func (cn *control) use(ctx context.Context, question func(co *conn, deadline time.Time) error) error {
 	cn.mu.Lock()
 	defer cn.mu.Unlock()
+	if cn.co != nil {
+		deadline := cn.up.now().Add(controlPatience)
+		if limit, ok := ctx.Deadline(); ok && limit.Before(deadline) {
+			deadline = limit
+		}
+		if question(cn.co, deadline) == nil {
+			return nil
+		}
+		// It may have been this connection only: ask on a new one.
+		cn.drop()
+	}
 	if cn.co == nil {
 		co, err := cn.up.dialer.open(ctx)
 		cn.up.noteReach(err)
--- a/io/peer/client.go
+++ b/io/peer/client.go
@@ -249,18 +249,17 @@
 	return re.Found, nil
 }
 
+// AskPosition asks a member for the position of an upstream as of now.
+func (cl *Client) AskPosition(ctx context.Context, mem place.Member, group, upstream string) (posn.Position, error) {
+	re, err := cl.probe(ctx, mem, group, upstream)
+	return wire.ToPosition(re.GetPosition()), err
+}
+
 // Probe asks a member what an upstream says of itself.
 func (cl *Client) Probe(ctx context.Context, mem place.Member, group, upstream string) (promo.Report, error) {
-	pc, err := cl.peer(mem.Address)
+	re, err := cl.probe(ctx, mem, group, upstream)
 	if err != nil {
-		return promo.Report{}, unreached(mem, err)
-	}
-	re, err := pc.Probe(ctx, &wire.ProbeRequest{Group: group, Upstream: upstream})
-	if err != nil {
-		return promo.Report{}, unreached(mem, err)
-	}
-	if re.Code != 0 {
-		return promo.Report{}, &codes.Refusal{Code: codes.Code(re.Code), Detail: re.Detail}
+		return promo.Report{}, err
 	}
 	return promo.Report{
 		Term:     wire.ToPosition(re.Position).Term,
@@ -270,6 +269,21 @@
 	}, nil
 }
 
+func (cl *Client) probe(ctx context.Context, mem place.Member, group, upstream string) (*wire.ProbeReply, error) {
+	pc, err := cl.peer(mem.Address)
+	if err != nil {
+		return nil, unreached(mem, err)
+	}
+	re, err := pc.Probe(ctx, &wire.ProbeRequest{Group: group, Upstream: upstream})
+	if err != nil {
+		return nil, unreached(mem, err)
+	}
+	if re.Code != 0 {
+		return nil, &codes.Refusal{Code: codes.Code(re.Code), Detail: re.Detail}
+	}
+	return re, nil
+}
+
 // Order passes an order on to the home of an upstream.
 func (cl *Client) Order(ctx context.Context, mem place.Member, rq *wire.OrderRequest) error {
 	pc, err := cl.peer(mem.Address)
--- a/io/peer/test.go
+++ b/io/peer/test.go
@@ -8,7 +8,7 @@
 )
 
 // pingTimeout bounds one ping of a connection with streams in use.
-const pingTimeout = 700 * time.Millisecond
+const pingTimeout = 400 * time.Millisecond
 
 // Test pings the peers that have streams in use. A connection that does not
 // answer while a new one does is dropped: something between the two ends has
--- a/io/standin/upstr/ship.go
+++ b/io/standin/upstr/ship.go
@@ -121,13 +121,20 @@
 			}
 			continue
 		}
-		if err := se.step(ctx, client, from); err != nil {
+		err := se.step(ctx, client, from)
+		if err != nil && se.follows(from) {
 			transport.CloseIdleConnections()
 			pause(ctx, retryWait)
 		}
 	}
 }
 
+func (se *Server) follows(from string) bool {
+	se.mu.Lock()
+	defer se.mu.Unlock()
+	return se.follow == from
+}
+
 // errForked says that the follower's log is no prefix of the primary's.
 var errForked = errors.New("log is no prefix of the primary's")
 
@@ -136,7 +143,7 @@
 	if se.stopped.Load() {
 		return errors.New("replication is stopped")
 	}
-	ba, err := se.fetch(ctx, client, from, se.journal.last())
+	ba, err := se.fetchUntilChange(ctx, client, from)
 	if errors.Is(err, errForked) && se.opts.Rewinds {
 		return se.rewind()
 	}
@@ -154,6 +161,28 @@
 	return nil
 }
 
+// fetchUntilChange fetches, and gives up at once if the server is to follow
+// another primary.
+func (se *Server) fetchUntilChange(ctx context.Context, client *http.Client, from string) (batchOfLog, error) {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	se.mu.Lock()
+	changed := se.refollow
+	isOther := se.follow != from
+	se.mu.Unlock()
+	if isOther {
+		return batchOfLog{}, nil
+	}
+	go func() {
+		select {
+		case <-changed:
+			cancel()
+		case <-ctx.Done():
+		}
+	}()
+	return se.fetch(ctx, client, from, se.journal.last())
+}
+
 // join moves up to the primary's term; false if that is lower.
 func (se *Server) join(te posn.Term, from string) bool {
 	se.mu.Lock()
--- /dev/null
+++ b/tests/failover_test.go
@@ -0,0 +1,138 @@
+package tests
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	"github.com/jackc/pgx/v5"
+	"github.com/jackc/pgx/v5/pgconn"
+	"github.com/stretchr/testify/require"
+
+	"banyanspring/core/docum"
+	"banyanspring/io/fleet"
+)
+
+// writeUntilDone repeats a statement until it is acknowledged.
+func writeUntilDone(t *testing.T, pc *pgx.Conn, query string, args ...any) {
+	t.Helper()
+	require.Eventually(t, func() bool {
+		_, err := pc.Exec(t.Context(), query, args...)
+		return err == nil
+	}, time.Minute, 50*time.Millisecond)
+}
+
+const upsert = "INSERT INTO orders (id, item) VALUES ($1, $2) ON CONFLICT (id) DO UPDATE SET item = excluded.item"
+
+func TestPrimaryIsReplacedAndLosesNothing(t *testing.T) {
+	fl := startFleet(t, nil)
+	pc := connect(t, fl, fl.Daemons()[2], "")
+	createOrders(t, pc)
+	for id := range 10 {
+		_, err := pc.Exec(t.Context(), "INSERT INTO orders VALUES ($1, 'a')", int64(id))
+		require.NoError(t, err)
+	}
+	old := fl.Primary(0, 0)
+	old.Close()
+	writeUntilDone(t, pc, upsert, int64(10), "b")
+	require.Equal(t, int64(11), countOrders(t, pc))
+	require.NotEqual(t, old.Name(), fl.Primary(0, 0).Name())
+	require.Equal(t, uint64(2), fl.Primary(0, 0).Position().Term.Number)
+}
+
+func TestPrimaryIsReplacedWhileTheStoreIsDown(t *testing.T) {
+	fl := startFleet(t, nil)
+	pc := connect(t, fl, fl.Daemons()[1], "")
+	createOrders(t, pc)
+	fl.Platform.SetDown(true)
+	fl.Primary(0, 0).Close()
+	writeUntilDone(t, pc, upsert, int64(1), "a")
+	require.Equal(t, int64(1), countOrders(t, pc))
+	require.Equal(t, int64(1), countOrders(t, connect(t, fl, fl.Daemons()[2], "")))
+}
+
+// TestIsolatedOldPrimaryServesNothingStale roams a session to the side of a
+// primary that is cut off and still believes that it leads. Its home once
+// confirmed floors with reports from before the cut.
+func TestIsolatedOldPrimaryServesNothingStale(t *testing.T) {
+	fl := startFleet(t, func(opts *fleet.Options) {
+		opts.Document = func(doc *docum.Document) {
+			doc.Services[0].Limits.StatementTimeout = docum.Span(3 * time.Second)
+		}
+	})
+	hosts := fl.Daemons()
+	inside := connect(t, fl, hosts[0], "")
+	outside := connect(t, fl, hosts[1], "")
+	createOrders(t, outside)
+	_, err := outside.Exec(t.Context(), "INSERT INTO orders VALUES (1, 'a')")
+	require.NoError(t, err)
+	require.Equal(t, int64(1), countOrders(t, inside))
+
+	place := fl.PlaceOf(hosts[0])
+	fl.CutOff(place, true)
+	writeUntilDone(t, outside, upsert, int64(2), "b")
+	old := fl.Groups[fleet.GroupName(0, 0)][0]
+	require.True(t, old.IsPrimary(), "the old primary should still believe that it leads")
+
+	// A session that roams in has no majority in reach.
+	roamed := connect(t, fl, hosts[0], "")
+	var count int64
+	err = roamed.QueryRow(t.Context(), "SELECT count(*) FROM orders").Scan(&count)
+	require.Error(t, err, "read %d orders from the old primary", count)
+	// One that was here before gets no data older than its class tolerates.
+	require.Eventually(t, func() bool {
+		return inside.QueryRow(t.Context(), "SELECT count(*) FROM orders").Scan(&count) != nil
+	}, time.Minute, 100*time.Millisecond)
+	// Its writes are never acknowledged.
+	_, err = inside.Exec(t.Context(), "INSERT INTO orders VALUES (3, 'lost')")
+	require.Error(t, err)
+
+	fl.CutOff(place, false)
+	require.Eventually(t, func() bool {
+		late, err := pgx.Connect(t.Context(), fl.URL(hosts[0], "printers", 0, 0))
+		if err != nil {
+			return false
+		}
+		defer func() { _ = late.Close(context.Background()) }()
+		err = late.QueryRow(t.Context(), "SELECT count(*) FROM orders").Scan(&count)
+		return err == nil && count == 2
+	}, time.Minute, 100*time.Millisecond)
+}
+
+func TestCutOffDomainServesWhatItMay(t *testing.T) {
+	fl := startFleet(t, func(opts *fleet.Options) {
+		opts.Document = func(doc *docum.Document) {
+			doc.Services[0].Limits.StatementTimeout = docum.Span(3 * time.Second)
+		}
+	})
+	hosts := fl.Daemons()
+	createOrders(t, connect(t, fl, hosts[0], ""))
+	last := connect(t, fl, hosts[2], "")
+	require.Equal(t, int64(0), countOrders(t, last))
+	fl.CutOff(fl.PlaceOf(hosts[2]), true)
+	// The class "catalogue" tolerates 30 s and says serve_when_cut_off.
+	roamed := connect(t, fl, hosts[2], "&banyanspring.read_class=catalogue")
+	require.Equal(t, int64(0), countOrders(t, roamed))
+	_, err := roamed.Exec(t.Context(), "INSERT INTO orders VALUES (1, 'a')")
+	// Sent into a connection that is cut, it may have run for all this side knows.
+	var pe *pgconn.PgError
+	require.ErrorAs(t, err, &pe)
+	require.Equal(t, "08007", pe.Code)
+}
+
+func TestPlannedChangeKeepsEverything(t *testing.T) {
+	fl := startFleet(t, nil)
+	pc := connect(t, fl, fl.Daemons()[0], "")
+	createOrders(t, pc)
+	group := fleet.GroupName(0, 0)
+	for round, target := range []int{1, 2, 0} {
+		_, err := pc.Exec(t.Context(), upsert, int64(round), "a")
+		require.NoError(t, err)
+		name := fl.Groups[group][target].Name()
+		require.NoError(t, fl.Daemons()[0].Handover(t.Context(), group, name))
+		require.Equal(t, name, fl.Primary(0, 0).Name())
+		require.Equal(t, int64(round+1), countOrders(t, pc))
+	}
+	_, err := pc.Exec(t.Context(), upsert, int64(9), "a")
+	require.NoError(t, err)
+}
