Check the change of primary by randomised runs, and give operators their orders

Cause: the decisions were tested case by case only, and operators could neither see a group nor order a change. Change: a randomised run of the guards, the confirmation and the floors under a virtual clock with faults at any moment, histories checked for linearizability; make soak and make model; group list, switch and force; guards of a lower rank probe every third round while all is well.

--- a/Makefile
+++ b/Makefile
@@ -37,6 +37,24 @@
 test: ## run every test
 	$(GO) test -timeout 10m $(PACKAGES)
 
+SEED ?= 1
+FOR ?= 10m
+.PHONY: soak
+soak: ## run the randomised faults on; SEED=n FOR=10m
+	$(GO) test ./core/promo -run 'TestRandomFaults' -timeout 24h -rapid.seed=$(SEED) -rapid.checks=1000000000 & \
+	pid=$$!; sleep $(FOR); pkill -P $$pid promo.test; wait $$pid; \
+	echo "soak ended after $(FOR) with seed $(SEED)"
+
+SPIN_FLAGS ?= -DMAXNUM=2 -DMAXLEN=2
+.PHONY: model
+model: ## check the specification with spin, and that each broken rule is found
+	@command -v spin >/dev/null || (apt-get update -q && apt-get install -y -q spin)
+	sh spec/check.sh $(SPIN_FLAGS)
+
+.PHONY: bench
+bench: ## run the benchmarks
+	$(GO) test -run xxx -bench . ./...
+
 .PHONY: generate
 generate: ## regenerate the gRPC code; needs protoc and its Go plug-ins on the path
 	protoc -I . --go_out=. --go_opt=module=banyanspring --go-grpc_out=. --go-grpc_opt=module=banyanspring io/wire/peer.proto
--- a/core/promo/promo.go
+++ b/core/promo/promo.go
@@ -151,6 +151,12 @@
 	gu.rank = rank
 }
 
+// IsQuiet reports whether the leader was heard of within the time given, so
+// that nothing has to be looked at closely.
+func (gu *Guard) IsQuiet(now time.Time, within time.Duration) bool {
+	return gu.State() == Healthy && now.Sub(gu.lastGood) <= within
+}
+
 // Members returns what the guard knows of the members.
 func (gu *Guard) Members() []Member { return slices.Clone(gu.members) }
 
--- a/io/daemon/guards.go
+++ b/io/daemon/guards.go
@@ -40,6 +40,11 @@
 	claimTimeout = 500 * time.Millisecond
 	// smoothing is the weight of a new sample of the round trip.
 	smoothing = 0.125
+	// quietRounds is how many rounds a guard of a lower rank lets pass between
+	// probes while all is well.
+	quietRounds = 3
+	// quietWithin is how lately the primary must have been heard of for that.
+	quietWithin = 900 * time.Millisecond
 	// rewriteEvery is the time between two tries to write a term that was
 	// claimed without the store.
 	rewriteEvery = 5 * time.Second
@@ -74,6 +79,8 @@
 	// roundTrip is the smoothed time of a probe.
 	roundTrip time.Duration
 	state     promo.State
+	// rounds counts the rounds so far.
+	rounds int
 	// busy is true while an order is carried out.
 	busy bool
 	// rewriteAt is when the store may be told of the term again.
@@ -159,8 +166,10 @@
 
 // round probes all members and acts on what is known so far.
 func (gd *guarded) round(gr store.Group, rank int) {
-	for _, mem := range gr.Members {
-		gd.probe(gr, mem)
+	if gd.isProbing(rank) {
+		for _, mem := range gr.Members {
+			gd.probe(gr, mem)
+		}
 	}
 	gd.mu.Lock()
 	defer gd.mu.Unlock()
@@ -174,6 +183,16 @@
 	gd.act(gr, or, now)
 }
 
+// isProbing reports whether this round probes. Guards of a lower rank look on
+// from afar while all is well; they come in time if the first one is gone.
+func (gd *guarded) isProbing(rank int) bool {
+	gd.mu.Lock()
+	defer gd.mu.Unlock()
+	gd.rounds++
+	isQuiet := gd.guard.IsQuiet(gd.ho.seams.Now(), quietWithin)
+	return rank == 0 || !isQuiet || gd.rounds%quietRounds == 0
+}
+
 func (gd *guarded) noteState() {
 	state := gd.guard.State()
 	if state == promo.Suspected && gd.state == promo.Healthy {
--- /dev/null
+++ b/io/daemon/operate.go
@@ -0,0 +1,118 @@
+package daemon
+
+import (
+	"context"
+	"net/http"
+	"time"
+
+	"banyanspring/core/codes"
+	"banyanspring/core/event"
+	"banyanspring/core/posn"
+	"banyanspring/core/promo"
+)
+
+// GroupStatus is a group as one of its guards sees it.
+type GroupStatus struct {
+	Group   string         `json:"group"`
+	Term    uint64         `json:"term"`
+	Primary string         `json:"primary"`
+	State   promo.State    `json:"state"`
+	Members []MemberStatus `json:"members"`
+}
+
+// MemberStatus is a member as a guard last saw it.
+type MemberStatus struct {
+	Name    string `json:"name"`
+	Term    uint64 `json:"term"`
+	Offset  uint64 `json:"offset"`
+	Leads   bool   `json:"leads"`
+	Behind  uint64 `json:"behind"`
+	SeenAge string `json:"seen_age"`
+}
+
+// status describes the groups under watch here.
+func (gs *guards) status() []GroupStatus {
+	gs.mu.Lock()
+	defer gs.mu.Unlock()
+	out := []GroupStatus{}
+	for _, gd := range gs.groups {
+		out = append(out, gd.status())
+	}
+	return out
+}
+
+func (gd *guarded) status() GroupStatus {
+	gd.mu.Lock()
+	defer gd.mu.Unlock()
+	st := GroupStatus{Group: gd.name, State: gd.guard.State()}
+	if gr, ok := gd.ho.groups.Get(gd.name); ok {
+		st.Term, st.Primary = gr.TermNumber, gr.Primary
+	}
+	members := gd.guard.Members()
+	var head posn.Position
+	for _, mem := range members {
+		if mem.Report.Primary {
+			head = head.Max(mem.Report.Entry)
+		}
+	}
+	now := gd.ho.seams.Now()
+	for _, mem := range members {
+		seen := "never"
+		if !mem.Reached.IsZero() {
+			seen = now.Sub(mem.Reached).Round(time.Millisecond).String()
+		}
+		st.Members = append(st.Members, MemberStatus{
+			Name:    mem.Name,
+			Term:    mem.Report.Term.Number,
+			Offset:  mem.Report.Entry.Offset,
+			Leads:   mem.Report.Primary,
+			Behind:  max(head.Offset, mem.Report.Entry.Offset) - mem.Report.Entry.Offset,
+			SeenAge: seen,
+		})
+	}
+	return st
+}
+
+// operatorTimeout bounds an operator's order.
+const operatorTimeout = 15 * time.Second
+
+func (ho *Host) serveHandover(wr http.ResponseWriter, rq *http.Request) {
+	ctx, cancel := context.WithTimeout(rq.Context(), operatorTimeout)
+	defer cancel()
+	answerOrder(wr, ho.Handover(ctx, rq.PathValue("group"), rq.FormValue("target")))
+}
+
+func (ho *Host) serveForce(wr http.ResponseWriter, rq *http.Request) {
+	ctx, cancel := context.WithTimeout(rq.Context(), operatorTimeout)
+	defer cancel()
+	answerOrder(wr, ho.Force(ctx, rq.PathValue("group"), rq.FormValue("target")))
+}
+
+func answerOrder(wr http.ResponseWriter, err error) {
+	if err != nil {
+		http.Error(wr, err.Error(), http.StatusConflict)
+		return
+	}
+	_, _ = wr.Write([]byte("done\n"))
+}
+
+// Force promotes a member whatever the others say. What other members hold and
+// the target does not is lost, acknowledged or not; nothing is acknowledged in
+// the new term before a majority has joined it.
+func (ho *Host) Force(ctx context.Context, group, target string) error {
+	gr, ok := ho.groups.Get(group)
+	if !ok {
+		return codes.Refuse(codes.NotHome, "group %q is not known here", group)
+	}
+	mem, ok := gr.GetMemberByName(target)
+	if !ok {
+		return codes.Refuse(codes.OrderRefused, "%q is no member of %q", target, group)
+	}
+	re, err := ho.probe(ctx, gr, mem)
+	if err != nil {
+		return err
+	}
+	claim := posn.Term{Number: max(gr.TermNumber, re.Term.Number) + 1, Primary: target}
+	event.Log(ho.Log, event.PromotionBegun, "group", group, "candidate", target, "term", claim.Number, "forced", true)
+	return ho.changePrimary(ctx, gr, target, re.Term, claim)
+}
--- a/io/daemon/plugins.go
+++ b/io/daemon/plugins.go
@@ -279,6 +279,7 @@
 	PlatformCalls   int64         `json:"platform_calls"`
 	Members         []Member      `json:"members"`
 	Homes           []home.Status `json:"homes"`
+	Groups          []GroupStatus `json:"groups"`
 }
 
 // Member is one daemon as another sees it.
@@ -303,6 +304,7 @@
 	for _, mem := range ho.members.View(ho.seams.Now()).Members() {
 		st.Members = append(st.Members, Member{ID: mem.ID, Domain: mem.Domain, Leaving: mem.Leaving})
 	}
+	st.Groups = ho.guards.status()
 	return st
 }
 
@@ -317,6 +319,8 @@
 		wr.Header().Set("Content-Type", "application/json")
 		_ = json.NewEncoder(wr).Encode(ho.Status())
 	})
+	mux.HandleFunc("POST /groups/{group}/handover", ho.serveHandover)
+	mux.HandleFunc("POST /groups/{group}/force", ho.serveForce)
 	mux.Handle("GET /metrics", ho.metrics.Handler())
 	ho.admin = &http.Server{Handler: mux, ReadHeaderTimeout: time.Minute}
 	go func() { _ = ho.admin.Serve(ho.adminListener) }()
