Follow the platform through one delegate for each failure domain

Cause: each daemon watched the store itself, so that store calls grew with daemons. Change: the delegate of a failure domain, found by rendezvous hashing, watches the store and answers the watches of its domain; lists of daemons travel the same way; a daemon whose delegate knows better looks at the store once.

--- a/cmd/load.go
+++ b/cmd/load.go
@@ -21,6 +21,7 @@
 	length                            time.Duration
 	workers, daemons                  int
 	jsonFile, reportDir               string
+	fleetDaemons, databases, domains  int
 }
 
 func newLoad() *cobra.Command {
@@ -43,6 +44,9 @@
 	fs.DurationVar(&fl.length, "for", 10*time.Second, "how long callers send requests")
 	fs.IntVar(&fl.workers, "workers", 4, "sessions of each caller")
 	fs.IntVar(&fl.daemons, "daemons-per-domain", 2, "daemons in each failure domain")
+	fs.IntVar(&fl.fleetDaemons, "daemons", 14, "daemons of the scenario fleet")
+	fs.IntVar(&fl.databases, "databases", 14, "databases of the scenario fleet")
+	fs.IntVar(&fl.domains, "domains", 7, "failure domains of the scenario fleet")
 	fs.StringVar(&fl.jsonFile, "json", "", "file for the result; standard output if empty")
 	fs.StringVar(&fl.reportDir, "report", "", "directory for an HTML page with plots")
 	return cm
@@ -54,6 +58,7 @@
 	for _, sc := range load.Scenarios() {
 		fmt.Fprintf(&text, "  %-14s %s\n", sc.Name, sc.Text)
 	}
+	fmt.Fprintf(&text, "  %-14s %s\n", "fleet", "many daemons without callers: what their control costs")
 	text.WriteString("\nPolicies:\n")
 	for _, po := range load.Policies() {
 		fmt.Fprintf(&text, "  %-14s %s\n", po.Name, po.Text)
@@ -65,6 +70,9 @@
 var errViolation = errors.New("a promise was broken; see the counters")
 
 func runLoad(cm *cobra.Command, fl loadFlags) error {
+	if fl.scenario == "fleet" {
+		return runFleet(cm, fl)
+	}
 	re, err := load.Execute(cm.Context(), fl.options(fl.policy))
 	if err != nil {
 		return err
@@ -104,7 +112,21 @@
 	}
 }
 
-func writeResult(cm *cobra.Command, path string, re *load.Result) error {
+// runFleet measures the control of a fleet without callers.
+func runFleet(cm *cobra.Command, fl loadFlags) error {
+	re, err := load.ExecuteControl(cm.Context(), load.ControlOptions{
+		Daemons:   fl.fleetDaemons,
+		Databases: fl.databases,
+		Domains:   fl.domains,
+		Length:    fl.length,
+	})
+	if err != nil {
+		return err
+	}
+	return writeResult(cm, fl.jsonFile, re)
+}
+
+func writeResult(cm *cobra.Command, path string, re any) error {
 	raw, err := json.MarshalIndent(re, "", "  ")
 	if err != nil {
 		return err
--- a/core/place/place.go
+++ b/core/place/place.go
@@ -77,6 +77,11 @@
 	return Member{}, false
 }
 
+// Delegate returns the daemon that follows the platform for a failure domain.
+func (vi View) Delegate(domain string) (Member, bool) {
+	return vi.highest("delegate/"+domain, func(mem Member) bool { return mem.Domain == domain })
+}
+
 func (vi View) highest(key string, fits func(Member) bool) (Member, bool) {
 	var best Member
 	var bestScore uint64
--- a/io/daemon/host.go
+++ b/io/daemon/host.go
@@ -81,13 +81,16 @@
 	store   *store.Client
 	keeper  *adopt.Keeper
 	groups  *groupCache
-	members *membership
-	client  *peer.Client
-	homes   *home.Manager
-	floors  *floorAskers
-	front   *front.Front
-	guards  *guards
-	server  *peer.Server
+	mirror  *mirror
+	// follower keeps the copy of the platform's objects up to date.
+	follower *follower
+	members  *membership
+	client   *peer.Client
+	homes    *home.Manager
+	floors   *floorAskers
+	front    *front.Front
+	guards   *guards
+	server   *peer.Server
 
 	peerListener   net.Listener
 	callerListener net.Listener
--- /dev/null
+++ b/io/daemon/mirror_test.go
@@ -0,0 +1,68 @@
+package daemon
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"banyanspring/core/place"
+	"banyanspring/core/posn"
+	"banyanspring/io/store"
+)
+
+// TestListOfALaterDelegateIsTaken met a daemon that became delegate and ignored
+// its own lists, as the last one it had taken from elsewhere had a higher number.
+func TestListOfALaterDelegateIsTaken(t *testing.T) {
+	mi := newMirror(time.Unix(1, 0))
+	mi.SetFollowing(store.KindInstanceList, true)
+	mi.Put(store.Object{Kind: store.KindInstanceList, Name: store.KindInstanceList, Version: 1 << 62, Value: []byte("old")})
+	mi.PutList([]byte("new"))
+	objs, follows := mi.Watch(t.Context(), store.KindInstanceList, 1<<62, time.Hour)
+	require.True(t, follows)
+	require.Equal(t, "new", string(objs[0].Value))
+}
+
+func TestMirrorNeverGoesBack(t *testing.T) {
+	mi := newMirror(time.Unix(1, 0))
+	mi.SetFollowing(store.KindDocument, true)
+	mi.Put(store.Object{Kind: store.KindDocument, Name: "current", Version: 5, Value: []byte("5")})
+	mi.Put(store.Object{Kind: store.KindDocument, Name: "current", Version: 4, Value: []byte("4")})
+	objs, _ := mi.Watch(t.Context(), store.KindDocument, 0, time.Hour)
+	require.Equal(t, uint64(5), objs[0].Version)
+	_, follows := mi.Watch(t.Context(), store.KindGroup, 0, time.Hour)
+	require.False(t, follows)
+}
+
+func TestMembershipMergesWhatWasSeen(t *testing.T) {
+	now := time.Unix(1000, 0)
+	ms := newMembership(place.Member{ID: "a", Domain: "d"})
+	ms.SetListed([]store.Instance{{ID: "a"}, {ID: "b", Domain: "d"}, {ID: "c", Domain: "d"}})
+	require.Len(t, ms.View(now).Members(), 3)
+	ms.Suspect("b", now)
+	ms.SetLeaving("c", now)
+	mem, ok := ms.View(now).Home("u", place.Site{Domain: "d"})
+	require.True(t, ok)
+	require.Equal(t, "a", mem.ID)
+	later := now.Add(suspectPause)
+	found, _ := ms.View(later).GetMemberByID("b")
+	require.False(t, found.Leaving)
+	found, _ = ms.View(later).GetMemberByID("c")
+	require.True(t, found.Leaving)
+}
+
+func TestGroupTermsNeverFall(t *testing.T) {
+	gc := newGroupCache()
+	stored := []byte(`{"name":"g","term_number":1,"primary":"a","members":[{"name":"a"},{"name":"b"}]}`)
+	require.NoError(t, gc.offer(store.Object{Name: "g", Version: 3, Value: stored}))
+	require.True(t, gc.learn("g", posn.Term{Number: 2, Primary: "b"}))
+	require.False(t, gc.learn("g", posn.Term{Number: 1, Primary: "b"}))
+	require.False(t, gc.learn("g", posn.Term{Number: 9, Primary: "stranger"}))
+	require.NoError(t, gc.offer(store.Object{Name: "g", Version: 4, Value: stored}))
+	gr, ok := gc.Get("g")
+	require.True(t, ok)
+	require.Equal(t, "b", gr.Primary)
+	require.NoError(t, gc.offer(store.Object{Name: "g", Version: 2, Value: []byte(`{"name":"g","term_number":7,"primary":"a"}`)}))
+	gr, _ = gc.Get("g")
+	require.Equal(t, uint64(2), gr.TermNumber)
+}
--- a/io/daemon/platform.go
+++ b/io/daemon/platform.go
@@ -2,12 +2,16 @@
 
 import (
 	"context"
+	"encoding/json"
+	"math/rand/v2"
 	"sync/atomic"
 	"time"
 
 	"banyanspring/core/adopt"
+	"banyanspring/core/codes"
 	"banyanspring/core/event"
 	"banyanspring/core/life"
+	"banyanspring/core/place"
 	"banyanspring/io/store"
 )
 
@@ -17,20 +21,27 @@
 		Stage: stagePlatform,
 		Start: startPlatform,
 	})
+	registry.Register(plugin{Name: "following", Stage: stageCaller, Start: startFollowing})
 }
 
-// startPlatform reads what the daemon needs and goes on watching it.
+// startPlatform reads what the daemon needs; the following starts with the
+// peers.
 func startPlatform(ctx context.Context, ho *Host) error {
 	ho.store = store.New(ho.Settings.Platform.Address, ho.seams.PlatformTransport)
 	ho.groups = newGroupCache()
+	ho.mirror = newMirror(ho.seams.Now())
 	ho.members = newMembership(ho.self())
-	fo := &follower{ho: ho}
-	if err := fo.first(ctx); err != nil {
-		return err
-	}
-	go fo.watch(store.KindDocument, fo.document)
-	go fo.watch(store.KindGroup, fo.group)
-	go fo.list()
+	ho.follower = &follower{ho: ho}
+	return ho.follower.first(ctx)
+}
+
+// startFollowing goes on watching the platform, through the delegate of the
+// failure domain.
+func startFollowing(_ context.Context, ho *Host) error {
+	go ho.follower.watch(store.KindDocument, ho.follower.document)
+	go ho.follower.watch(store.KindGroup, ho.follower.group)
+	go ho.follower.watch(store.KindInstanceList, ho.follower.instances)
+	go ho.follower.list()
 	return nil
 }
 
@@ -65,6 +76,7 @@
 	}
 	for _, obj := range groups {
 		fo.group(obj)
+		fo.ho.mirror.Put(obj)
 	}
 	docs, err := fo.ho.store.List(ctx, store.KindDocument)
 	if err != nil {
@@ -72,6 +84,7 @@
 	}
 	for _, obj := range docs {
 		fo.document(obj)
+		fo.ho.mirror.Put(obj)
 	}
 	list, err := fo.ho.store.Instances(ctx)
 	if err != nil {
@@ -100,30 +113,96 @@
 	watchRetryMax = 5 * time.Second
 )
 
+// source returns the daemon to take objects from; false says that it is this
+// one, which then reads the store.
+func (fo *follower) source() (place.Member, bool) {
+	ho := fo.ho
+	mem, ok := ho.members.View(ho.seams.Now()).Delegate(ho.Settings.Daemon.Domain)
+	return mem, ok && !ho.isSelf(mem)
+}
+
 // watch follows one kind of objects.
 func (fo *follower) watch(kind string, take func(store.Object)) {
 	var after uint64
+	var from string
 	wait := watchRetryMin
 	ctx := fo.ho.background
 	for ctx.Err() == nil {
-		objs, err := fo.ho.store.Watch(ctx, kind, after, fo.ho.Settings.Platform.WatchWait)
+		// Lists are numbered by their delegate: another one starts anew.
+		if mem, _ := fo.source(); mem.ID != from {
+			from = mem.ID
+			after = 0
+		}
+		objs, err := fo.next(ctx, kind, after)
 		if ctx.Err() != nil {
 			return
 		}
-		fo.note(err)
 		if err != nil {
-			pause(ctx, wait)
+			pause(ctx, jitter(wait))
 			wait = min(2*wait, watchRetryMax)
 			continue
 		}
 		wait = watchRetryMin
 		for _, obj := range objs {
 			take(obj)
+			fo.ho.mirror.Put(obj)
 			after = max(after, obj.Version)
 		}
 	}
 }
 
+// jitter spreads retries, so that daemons do not come back all at once.
+func jitter(wait time.Duration) time.Duration {
+	return wait/2 + time.Duration(rand.Int64N(int64(wait)))
+}
+
+// next waits for newer objects, from the delegate or from the store.
+func (fo *follower) next(ctx context.Context, kind string, after uint64) ([]store.Object, error) {
+	wait := fo.ho.Settings.Platform.WatchWait
+	if mem, ok := fo.source(); ok {
+		fo.ho.mirror.SetFollowing(kind, false)
+		ctx, cancel := context.WithTimeout(ctx, wait+peerGrace)
+		defer cancel()
+		objs, err := fo.ho.client.Watch(ctx, mem, kind, after, wait)
+		if codes.Is(err, codes.PeerUnreached) {
+			fo.ho.members.Suspect(mem.ID, fo.ho.seams.Now())
+		}
+		if codes.Is(err, codes.NotHome) {
+			// It knows of a delegate that this daemon does not: look itself.
+			return fo.lookOnce(kind, after)
+		}
+		return objs, err
+	}
+	fo.ho.mirror.SetFollowing(kind, true)
+	if kind == store.KindInstanceList {
+		// The list has no watch: list polls it, and this loop follows suit.
+		objs, _ := fo.ho.mirror.Watch(ctx, kind, after, fo.ho.Settings.Platform.ListEvery)
+		return objs, nil
+	}
+	objs, err := fo.ho.store.Watch(ctx, kind, after, wait)
+	if ctx.Err() == nil {
+		fo.note(err)
+	}
+	return objs, err
+}
+
+// lookOnce reads the store once, while views of who is delegate differ.
+func (fo *follower) lookOnce(kind string, after uint64) ([]store.Object, error) {
+	ctx, cancel := context.WithTimeout(fo.ho.background, peerGrace)
+	defer cancel()
+	if !pause(ctx, jitter(watchRetryMin)) {
+		return nil, ctx.Err()
+	}
+	if kind != store.KindInstanceList {
+		return fo.ho.store.Watch(ctx, kind, after, time.Millisecond)
+	}
+	list, err := fo.ho.store.Instances(ctx)
+	if err == nil {
+		fo.ho.members.SetListed(list)
+	}
+	return nil, err
+}
+
 func (fo *follower) document(obj store.Object) {
 	if obj.Name != store.CurrentDocument {
 		return
@@ -143,13 +222,28 @@
 	}
 }
 
-// list reads the platform's list of daemons now and then.
+// list reads the platform's list of daemons now and then, if this daemon is
+// the delegate of its failure domain.
 func (fo *follower) list() {
 	for pause(fo.ho.background, fo.ho.Settings.Platform.ListEvery) {
+		if _, ok := fo.source(); ok {
+			continue
+		}
 		list, err := fo.ho.store.Instances(fo.ho.background)
-		if err == nil {
-			fo.ho.members.SetListed(list)
+		if err != nil {
+			continue
 		}
+		if raw, err := json.Marshal(list); err == nil {
+			fo.ho.mirror.PutList(raw)
+		}
+	}
+}
+
+// instances takes the list of daemons.
+func (fo *follower) instances(obj store.Object) {
+	var list []store.Instance
+	if json.Unmarshal(obj.Value, &list) == nil {
+		fo.ho.members.SetListed(list)
 	}
 }
 
--- a/io/daemon/plugins.go
+++ b/io/daemon/plugins.go
@@ -129,6 +129,7 @@
 		Homes:    ho.homes,
 		Cancel:   func(pid, secret uint32) bool { return ho.front != nil && ho.front.Cancel(pid, secret) },
 		Order:    ho.carryOut,
+		Watch:    ho.mirror.Watch,
 		Handover: ho.handOver,
 		Leave: func(member string) {
 			event.Log(ho.Log, event.PeerLeaving, "member", member)
--- a/io/fleet/fault.go
+++ b/io/fleet/fault.go
@@ -1,6 +1,7 @@
 package fleet
 
 import (
+	"banyanspring/io/daemon"
 	"banyanspring/io/standin/upstr"
 )
 
@@ -14,6 +15,13 @@
 	}
 }
 
+// KillDaemon stops a daemon without warning. The platform notices later.
+func (fl *Fleet) KillDaemon(ho *daemon.Host) {
+	fl.Remove(ho)
+	ho.Kill()
+	fl.Platform.Forget(ho.Settings.Daemon.ID)
+}
+
 // SilencePaths makes the open connections between all places silent for good;
 // new ones work.
 func (fl *Fleet) SilencePaths() {
--- a/io/fleet/fleet.go
+++ b/io/fleet/fleet.go
@@ -174,7 +174,7 @@
 func (fl *Fleet) startUpstreams(ctx context.Context) error {
 	for se := range fl.opts.Services {
 		for db := range fl.opts.DatabasesPerService {
-			if err := fl.startGroup(ctx, GroupName(se, db)); err != nil {
+			if err := fl.startGroup(ctx, GroupName(se, db), se*fl.opts.DatabasesPerService+db); err != nil {
 				return err
 			}
 		}
@@ -182,10 +182,12 @@
 	return nil
 }
 
-func (fl *Fleet) startGroup(ctx context.Context, name string) error {
+// startGroup starts the members of a group; index moves them through the
+// places, so that not all primaries stand in one.
+func (fl *Fleet) startGroup(ctx context.Context, name string, index int) error {
 	gr := store.Group{Name: name, TermNumber: 1, Primary: name + "-1"}
 	for num := range members {
-		pl := fl.opts.Places[num%len(fl.opts.Places)]
+		pl := fl.opts.Places[(num+index)%len(fl.opts.Places)]
 		opts := fl.upstreamOptions(name, num, pl)
 		up, err := upstr.Start(opts)
 		if err != nil {
--- /dev/null
+++ b/io/load/control.go
@@ -0,0 +1,193 @@
+package load
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"net"
+	"net/http"
+	"runtime"
+	"slices"
+	"sync/atomic"
+	"syscall"
+	"time"
+
+	"banyanspring/core/docum"
+	"banyanspring/io/daemon"
+	"banyanspring/io/fleet"
+	"banyanspring/io/home"
+	"banyanspring/io/store"
+)
+
+// ControlOptions says how large a fleet to measure without callers.
+type ControlOptions struct {
+	Daemons, Databases, Domains int
+	// Length is how long the fleet is watched at rest.
+	Length time.Duration
+}
+
+// ControlResult is what the control of a fleet costs and how fast it is.
+type ControlResult struct {
+	Scenario  string `json:"scenario"`
+	Daemons   int    `json:"daemons"`
+	Databases int    `json:"databases"`
+	Domains   int    `json:"domains"`
+	// BytesPerSecond counts what a daemon sends to and reads from its peers.
+	BytesPerSecond float64 `json:"control_bytes_per_s"`
+	// CPUShare is the whole process's, stand-ins included, for each daemon.
+	CPUShare float64 `json:"control_cpu_share"`
+	// BytesHeld is the process's memory for each daemon, stand-ins included.
+	BytesHeld          float64 `json:"control_bytes_held"`
+	GoroutinesEach     float64 `json:"goroutines"`
+	StoreCallsPerSec   float64 `json:"store_calls_per_s"`
+	InForceMillis      float64 `json:"config_in_force_ms"`
+	InForceWorstMillis float64 `json:"config_in_force_worst_ms"`
+	JoinMillis         float64 `json:"view_converged_join_ms"`
+	DeathMillis        float64 `json:"view_converged_death_ms"`
+}
+
+// countedConn counts the bytes of a connection.
+type countedConn struct {
+	net.Conn
+	bytes *atomic.Int64
+}
+
+func (cc *countedConn) Read(buf []byte) (int, error) {
+	num, err := cc.Conn.Read(buf)
+	cc.bytes.Add(int64(num))
+	return num, err
+}
+
+func (cc *countedConn) Write(buf []byte) (int, error) {
+	num, err := cc.Conn.Write(buf)
+	cc.bytes.Add(int64(num))
+	return num, err
+}
+
+// ExecuteControl measures a fleet without callers.
+func ExecuteControl(ctx context.Context, opts ControlOptions) (*ControlResult, error) {
+	var bytes atomic.Int64
+	fl, err := fleet.Start(ctx, controlFleet(opts, &bytes))
+	if err != nil {
+		return nil, err
+	}
+	defer fl.Close()
+	if err := fl.Settle(ctx); err != nil {
+		return nil, err
+	}
+	re := &ControlResult{Scenario: "fleet", Daemons: opts.Daemons, Databases: opts.Databases, Domains: opts.Domains}
+	re.measureRest(fl, opts.Length, &bytes)
+	if err := re.measureDocuments(ctx, fl); err != nil {
+		return nil, err
+	}
+	return re, re.measureViews(ctx, fl)
+}
+
+func controlFleet(opts ControlOptions, bytes *atomic.Int64) fleet.Options {
+	out := fleet.QalamBirligi()
+	out.Places = nil
+	for pos := range opts.Domains {
+		out.Places = append(out.Places, fleet.Place{
+			Domain: fmt.Sprintf("domain-%d", pos),
+			Region: fmt.Sprintf("region-%d", pos%2),
+		})
+	}
+	out.DaemonsPerPlace = opts.Daemons / opts.Domains
+	out.DatabasesPerService = opts.Databases
+	out.DomainLatency, out.RegionLatency = 0, 0
+	out.Seams = func(se *daemon.Seams) {
+		se.DialPeer = func(ctx context.Context, address string) (net.Conn, error) {
+			nc, err := home.DialTCP(ctx, address)
+			if err != nil {
+				return nil, err
+			}
+			return &countedConn{Conn: nc, bytes: bytes}, nil
+		}
+	}
+	return out
+}
+
+func cpuTime() time.Duration {
+	var ru syscall.Rusage
+	if syscall.Getrusage(syscall.RUSAGE_SELF, &ru) != nil {
+		return 0
+	}
+	return time.Duration(ru.Utime.Nano() + ru.Stime.Nano())
+}
+
+func (re *ControlResult) measureRest(fl *fleet.Fleet, length time.Duration, bytes *atomic.Int64) {
+	const warmUp = 3 * time.Second
+	time.Sleep(warmUp)
+	hosts := float64(len(fl.Daemons()))
+	calls, sent, cpu := fl.Platform.Calls(), bytes.Load(), cpuTime()
+	time.Sleep(length)
+	seconds := length.Seconds()
+	re.StoreCallsPerSec = float64(fl.Platform.Calls()-calls) / seconds
+	// A byte passes two daemons and is counted at the one that dialled.
+	re.BytesPerSecond = 2 * float64(bytes.Load()-sent) / seconds / hosts
+	re.CPUShare = (cpuTime() - cpu).Seconds() / seconds / hosts
+	var ms runtime.MemStats
+	runtime.GC()
+	runtime.ReadMemStats(&ms)
+	re.BytesHeld = float64(ms.HeapInuse+ms.StackInuse) / hosts
+	re.GoroutinesEach = float64(runtime.NumGoroutine()) / hosts
+}
+
+// documentChanges is how many changes are timed.
+const documentChanges = 9
+
+func (re *ControlResult) measureDocuments(ctx context.Context, fl *fleet.Fleet) error {
+	cl := store.New(fl.Platform.Address(), http.DefaultTransport)
+	var took []float64
+	for round := range documentChanges {
+		obj, err := cl.Get(ctx, store.KindDocument, store.CurrentDocument)
+		if err != nil {
+			return err
+		}
+		var doc docum.Document
+		if err := json.Unmarshal(obj.Value, &doc); err != nil {
+			return err
+		}
+		doc.Services[0].Limits.QueuePerCaller = round + 1
+		began := time.Now()
+		version, err := cl.Put(ctx, store.KindDocument, store.CurrentDocument, obj.Version, doc)
+		if err != nil {
+			return err
+		}
+		await(ctx, fl, func(ho *daemon.Host) bool { return ho.DocumentVersion() >= version })
+		took = append(took, sinceMillis(began))
+	}
+	slices.Sort(took)
+	re.InForceMillis, re.InForceWorstMillis = took[len(took)/2], took[len(took)-1]
+	return nil
+}
+
+func (re *ControlResult) measureViews(ctx context.Context, fl *fleet.Fleet) error {
+	began := time.Now()
+	fresh, err := fl.StartDaemon(ctx, fl.PlaceOf(fl.Daemons()[0]))
+	if err != nil {
+		return err
+	}
+	count := len(fl.Daemons())
+	await(ctx, fl, func(ho *daemon.Host) bool { return ho.Members() == count })
+	re.JoinMillis = sinceMillis(began)
+	began = time.Now()
+	fl.KillDaemon(fresh)
+	await(ctx, fl, func(ho *daemon.Host) bool { return ho.Members() == count-1 })
+	re.DeathMillis = sinceMillis(began)
+	return nil
+}
+
+// await polls until all daemons are as wanted or the context is done.
+func await(ctx context.Context, fl *fleet.Fleet, isDone func(*daemon.Host) bool) {
+	const pollEvery = 5 * time.Millisecond
+	for _, ho := range fl.Daemons() {
+		for !isDone(ho) && ctx.Err() == nil {
+			time.Sleep(pollEvery)
+		}
+	}
+}
+
+func sinceMillis(began time.Time) float64 {
+	return float64(time.Since(began).Microseconds()) / 1000
+}
--- a/io/load/faults.go
+++ b/io/load/faults.go
@@ -130,10 +130,7 @@
 }
 
 func killDaemon(_ context.Context, ru *Run) {
-	hosts := ru.Fleet.Daemons()
-	victim := hosts[0]
-	ru.Fleet.Remove(victim)
-	victim.Kill()
+	ru.Fleet.KillDaemon(ru.Fleet.Daemons()[0])
 }
 
 // drivePair begins a second fault a short time into the first.
--- a/io/peer/client.go
+++ b/io/peer/client.go
@@ -11,11 +11,13 @@
 
 	"google.golang.org/grpc"
 	"google.golang.org/grpc/credentials"
+	"google.golang.org/protobuf/types/known/durationpb"
 
 	"banyanspring/core/codes"
 	"banyanspring/core/place"
 	"banyanspring/core/posn"
 	"banyanspring/core/promo"
+	"banyanspring/io/store"
 	"banyanspring/io/wire"
 )
 
@@ -318,6 +320,26 @@
 	return nil
 }
 
+// Watch waits for objects that a member knows and the sender does not.
+func (cl *Client) Watch(ctx context.Context, mem place.Member, kind string, after uint64, wait time.Duration) ([]store.Object, error) {
+	pc, err := cl.peer(mem.Address)
+	if err != nil {
+		return nil, unreached(mem, err)
+	}
+	re, err := pc.Watch(ctx, &wire.WatchRequest{Kind: kind, After: after, Wait: durationpb.New(wait)})
+	if err != nil {
+		return nil, unreached(mem, err)
+	}
+	if !re.Known {
+		return nil, codes.Refuse(codes.NotHome, "%s does not follow the platform", mem.ID)
+	}
+	objs := make([]store.Object, len(re.Objects))
+	for pos, obj := range re.Objects {
+		objs[pos] = store.Object{Kind: obj.Kind, Name: obj.Name, Version: obj.Version, Value: obj.Value}
+	}
+	return objs, nil
+}
+
 // Leave tells a member that the sender is leaving.
 func (cl *Client) Leave(ctx context.Context, mem place.Member, sender string) error {
 	pc, err := cl.peer(mem.Address)
--- a/io/peer/server.go
+++ b/io/peer/server.go
@@ -13,6 +13,7 @@
 	"banyanspring/core/codes"
 	"banyanspring/core/posn"
 	"banyanspring/io/home"
+	"banyanspring/io/store"
 	"banyanspring/io/wire"
 )
 
@@ -38,6 +39,8 @@
 	Order func(ctx context.Context, rq *wire.OrderRequest) error
 	// Handover runs a planned change of primary.
 	Handover func(ctx context.Context, rq *wire.HandoverRequest) error
+	// Watch waits for objects past a version; false if they are not followed.
+	Watch func(ctx context.Context, kind string, after uint64, wait time.Duration) ([]store.Object, bool)
 	// Leave notes that a member is leaving.
 	Leave func(member string)
 }
@@ -141,6 +144,16 @@
 	return &wire.PingReply{}, nil
 }
 
+// Watch implements wire.PeerServer.
+func (se *Server) Watch(ctx context.Context, rq *wire.WatchRequest) (*wire.WatchReply, error) {
+	objs, known := se.handlers.Watch(ctx, rq.Kind, rq.After, rq.Wait.AsDuration())
+	re := &wire.WatchReply{Known: known}
+	for _, obj := range objs {
+		re.Objects = append(re.Objects, &wire.Object{Kind: obj.Kind, Name: obj.Name, Version: obj.Version, Value: obj.Value})
+	}
+	return re, nil
+}
+
 // Leave implements wire.PeerServer.
 func (se *Server) Leave(_ context.Context, rq *wire.LeaveRequest) (*wire.LeaveReply, error) {
 	se.handlers.Leave(rq.Member)
--- a/io/standin/platf/platf.go
+++ b/io/standin/platf/platf.go
@@ -93,6 +93,15 @@
 // Calls returns how many calls arrived, waiting watches included.
 func (se *Server) Calls() int64 { return se.calls.Load() }
 
+// Forget removes an instance, as the platform does once it has noticed that it
+// is gone.
+func (se *Server) Forget(id string) {
+	se.mu.Lock()
+	defer se.mu.Unlock()
+	delete(se.objects, key{store.KindInstance, id})
+	se.lists = append(se.lists, datedList{at: time.Now(), list: se.listInstances()})
+}
+
 // Close stops the stand-in.
 func (se *Server) Close() { _ = se.http.Close() }
 
--- a/io/store/object.go
+++ b/io/store/object.go
@@ -18,6 +18,9 @@
 	KindGroup = "group"
 	// KindInstance holds the running daemons.
 	KindInstance = "instance"
+	// KindInstanceList is the platform's list of daemons as delegates pass it
+	// on; it is not in the store.
+	KindInstanceList = "instance_list"
 )
 
 // CurrentDocument is the name of the document in force.
