--- a/io/load/scenario.go
+++ b/io/load/scenario.go
@@ -4,6 +4,7 @@
 	"context"
 	"time"
 
+	"banyanspring/core/docum"
 	"banyanspring/core/route"
 	"banyanspring/io/daemon"
 	"banyanspring/io/standin/upstr"
@@ -20,6 +21,7 @@
 	policies = append(policies,
 		Policy{Name: "default", Text: "homes, replica reads, majority acknowledgement"},
 		Policy{Name: "primary_only", Text: "every read goes to the primary", Prepare: preparePrimaryOnly},
+		Policy{Name: "ack_primary", Text: "a write is acknowledged once the primary has it", Prepare: prepareAckPrimary},
 		Policy{Name: "direct", Text: "a pool on every daemon, no homes", Prepare: prepareDirect},
 	)
 }
@@ -94,6 +96,14 @@
 	})
 }
 
+func prepareAckPrimary(opts *Options) {
+	opts.Fleet.Document = func(doc *docum.Document) {
+		for pos := range doc.Services {
+			doc.Services[pos].Acknowledge = docum.AckPrimary
+		}
+	}
+}
+
 func prepareDirect(opts *Options) {
 	daemons := len(opts.Fleet.Places) * opts.Fleet.DaemonsPerPlace
 	addSeams(opts, func(se *daemon.Seams) {
--- a/tests/bench_test.go
+++ b/tests/bench_test.go
@@ -9,9 +9,13 @@
 	"github.com/jackc/pgx/v5/pgproto3"
 	"github.com/stretchr/testify/require"
 	"github.com/xdg-go/scram"
+	"google.golang.org/grpc/credentials/insecure"
 
+	"banyanspring/core/place"
 	"banyanspring/io/daemon"
 	"banyanspring/io/fleet"
+	"banyanspring/io/home"
+	"banyanspring/io/peer"
 )
 
 // benchFleet has no latency, so that only the daemons' own time is seen.
@@ -141,3 +145,27 @@
 		})
 	}
 }
+
+// BenchmarkPeerConnection reports the memory of one gRPC connection between
+// daemons, both ends together.
+func BenchmarkPeerConnection(b *testing.B) {
+	for _, count := range []int{50, 200} {
+		b.Run("", func(b *testing.B) {
+			fl := benchFleet(b, 1, nil)
+			mem := place.Member{ID: "peer", Address: fl.Daemons()[0].PeerAddress()}
+			for b.Loop() {
+				before := memoryInUse()
+				clients := make([]*peer.Client, count)
+				for pos := range clients {
+					clients[pos] = peer.NewClient(insecure.NewCredentials(), home.DialTCP)
+					_, err := clients[pos].Cancel(b.Context(), mem, 0, 0)
+					require.NoError(b, err)
+				}
+				b.ReportMetric(float64(memoryInUse()-before)/float64(count), "B/connection")
+				for _, cl := range clients {
+					cl.Close()
+				}
+			}
+		})
+	}
+}
