Assert the invariants inside the program, and know peers by certificate

Cause: the codes and events for a broken invariant existed and nothing raised them; the settings for TLS between daemons were checked and not used. Change: two requests on a connection, a term that falls and an acknowledgement without a majority refuse the request, are logged and counted, and stop a test; mutual TLS between daemons from files that are read again when they change; leaving upstreams have a test. TestPeersNeedACertificateOfTheAuthority refuses a stranger and clear text, and takes a replaced certificate without a restart.

--- a/io/daemon/plugins.go
+++ b/io/daemon/plugins.go
@@ -10,10 +10,12 @@
 	"time"
 
 	"github.com/cockroachdb/errors"
+	"google.golang.org/grpc/credentials"
 	"google.golang.org/grpc/credentials/insecure"
 	"google.golang.org/protobuf/types/known/durationpb"
 
 	"banyanspring/core/codes"
+	"banyanspring/core/conf"
 	"banyanspring/core/event"
 	"banyanspring/core/kernl"
 	"banyanspring/core/life"
@@ -117,7 +119,10 @@
 
 // startPeers opens the homes and serves them to other daemons.
 func startPeers(_ context.Context, ho *Host) error {
-	creds := insecure.NewCredentials()
+	creds, err := peerCredentials(ho.Settings.Peer)
+	if err != nil {
+		return err
+	}
 	ho.client = peer.NewClient(creds, ho.seams.DialPeer)
 	ho.homes = home.New(ho.Settings.Home, ho.Log, ho.seams.Now, ho.seams.DialUpstream, ho.groups.Get, home.Peers{
 		AwaitPosition: ho.awaitPosition,
@@ -141,6 +146,18 @@
 	return nil
 }
 
+// peerCredentials returns mutual TLS if the settings name a certificate.
+func peerCredentials(se conf.Peer) (credentials.TransportCredentials, error) {
+	if se.TLSCert == "" {
+		return insecure.NewCredentials(), nil
+	}
+	id, err := peer.NewIdentity(se.TLSCert, se.TLSKey, se.TLSAuthority)
+	if err != nil {
+		return nil, err
+	}
+	return id.Credentials(), nil
+}
+
 // trimEvery is the time between two looks for upstream connections to give
 // back.
 const trimEvery = 250 * time.Millisecond
--- a/io/fleet/fault.go
+++ b/io/fleet/fault.go
@@ -1,8 +1,12 @@
 package fleet
 
 import (
+	"context"
+	"encoding/json"
+
 	"banyanspring/io/daemon"
 	"banyanspring/io/standin/upstr"
+	"banyanspring/io/store"
 )
 
 // CutOff cuts a place off from all others, the platform included, or joins it
@@ -22,6 +26,26 @@
 	fl.Platform.Forget(ho.Settings.Daemon.ID)
 }
 
+// SetLeaving tells the platform that an upstream leaves.
+func (fl *Fleet) SetLeaving(ctx context.Context, group, member string) error {
+	cl := fl.storeClient()
+	obj, err := cl.Get(ctx, store.KindGroup, group)
+	if err != nil {
+		return err
+	}
+	var gr store.Group
+	if err := json.Unmarshal(obj.Value, &gr); err != nil {
+		return err
+	}
+	for pos := range gr.Members {
+		if gr.Members[pos].Name == member {
+			gr.Members[pos].Leaving = true
+		}
+	}
+	_, err = cl.Put(ctx, store.KindGroup, group, obj.Version, gr)
+	return err
+}
+
 // SilencePaths makes the open connections between all places silent for good;
 // new ones work.
 func (fl *Fleet) SilencePaths() {
--- a/io/home/confirm.go
+++ b/io/home/confirm.go
@@ -69,6 +69,21 @@
 	return codes.Refuse(codes.Unconfirmed, "no majority reached %s in time", at)
 }
 
+// holders counts the members that reported the position in its own term.
+func (cf *confirmer) holders(at posn.Position) int {
+	cf.mu.Lock()
+	defer cf.mu.Unlock()
+	count := 0
+	for _, name := range cf.up.members {
+		got := cf.tracker.Reported(name)
+		// A member that has moved up since has reported it before.
+		if got.Compare(at) >= 0 {
+			count++
+		}
+	}
+	return count
+}
+
 // highest returns the highest term that any member reported.
 func (cf *confirmer) highest() posn.Term {
 	cf.mu.Lock()
--- a/io/home/conn.go
+++ b/io/home/conn.go
@@ -43,6 +43,8 @@
 	// evicted names statements to close before the next unit.
 	evicted []string
 	nextID  int
+	// busy is true while a request uses the connection.
+	busy atomic.Bool
 	// doubt is set once the connection's state is not known; it is then closed.
 	doubt bool
 	// status is that of the last ReadyForQuery.
--- a/io/home/crossed_test.go
+++ b/io/home/crossed_test.go
@@ -15,6 +15,7 @@
 
 	"banyanspring/core/codes"
 	"banyanspring/core/conf"
+	"banyanspring/core/posn"
 	"banyanspring/io/store"
 	"banyanspring/io/wire"
 )
@@ -201,6 +202,20 @@
 	require.Greater(t, sc.opened.Load(), before, "the connection in doubt was used again")
 }
 
+func TestTwoRequestsOnAConnectionStopTheRun(t *testing.T) {
+	ma := newManager(startScripted(t, nil))
+	defer ma.Close()
+	up, err := ma.upstream("g", "u")
+	require.NoError(t, err)
+	co := &conn{}
+	require.NoError(t, up.begin(co))
+	require.Panics(t, func() { _ = up.begin(co) })
+	require.True(t, co.doubt)
+	old := &report{position: posn.Position{Term: posn.Term{Number: 3}}}
+	require.Panics(t, func() { _ = up.checkTerm(old, posn.Term{Number: 2}) })
+	require.Equal(t, int64(2), up.violations.Load())
+}
+
 func TestGateGivesUpWithItsContext(t *testing.T) {
 	ga := newGate(1, 10, time.Now)
 	it := (&run{open: &wire.Open{Caller: "c", Weight: 1, QueueLimit: 5}}).item(time.Now().Add(time.Hour))
--- a/io/home/home.go
+++ b/io/home/home.go
@@ -190,6 +190,8 @@
 	Idle        int    `json:"connections_idle"`
 	Running     int    `json:"slots_in_use"`
 	Waiting     int    `json:"waiting"`
+	// Violations counts failed invariants; anything but 0 is a fault to report.
+	Violations int64 `json:"violations"`
 }
 
 // Status describes all homes held here.
@@ -215,6 +217,7 @@
 		Idle:        idle,
 		Running:     running,
 		Waiting:     waiting,
+		Violations:  up.violations.Load(),
 	}
 	if got := up.known.Load(); got != nil {
 		st.Position = got.position.String()
--- a/io/home/run.go
+++ b/io/home/run.go
@@ -262,7 +262,13 @@
 	}
 	si := &sink{send: ru.st.Send, hold: un.Completion == wire.Completion_COMPLETION_MAJORITY}
 	job := &unitJob{ru: ru, un: un, si: si, deadline: deadline, inTransaction: inTransaction}
+	if err := ru.up.begin(ru.co); err != nil {
+		unlock()
+		ru.giveBack()
+		return nil, err
+	}
 	done, err := job.run(ctx)
+	ru.co.busy.Store(false)
 	unlock()
 	if err != nil {
 		ru.giveBack()
@@ -299,6 +305,9 @@
 	if err := ru.up.confirm.await(context.WithoutCancel(ctx), at, limit); err != nil {
 		return err
 	}
+	if err := ru.up.checkAcknowledged(at); err != nil {
+		return err
+	}
 	end.ConfirmedBy = ru.up.confirm.confirmedBy(at)
 	return nil
 }
--- a/io/home/upstream.go
+++ b/io/home/upstream.go
@@ -58,6 +58,10 @@
 	handing atomic.Bool
 	// leading counts the requests and transactions in hand at the primary.
 	leading atomic.Int64
+	// violations counts failed invariants.
+	violations atomic.Int64
+	// members names the group's members when the home was opened.
+	members []string
 	// lastUsed is when the upstream last served anything, in Unix nanoseconds.
 	lastUsed atomic.Int64
 }
@@ -92,6 +96,9 @@
 		connections: newGate(max(1, member.Connections/ma.share-controlConnections), ma.settings.QueueTotal, ma.now),
 		slots:       newGate(max(1, member.Slots), ma.settings.QueueTotal, ma.now),
 	}
+	for _, mem := range group.Members {
+		up.members = append(up.members, mem.Name)
+	}
 	up.control = &control{up: up}
 	up.reports = batch.New(questionTimeout, codes.UpstreamUnreached, up.control.ask)
 	up.floors = batch.New(floorTimeout, codes.NoMajority, up.confirmFloor)
@@ -320,6 +327,9 @@
 	if err != nil {
 		return report{}, err
 	}
+	if err := cn.up.checkTerm(cn.up.known.Load(), got.position.Term); err != nil {
+		return report{}, err
+	}
 	cn.up.note(got)
 	return got, nil
 }
--- a/io/standin/upstr/exec.go
+++ b/io/standin/upstr/exec.go
@@ -26,6 +26,7 @@
 	changePattern    = regexp.MustCompile(`(?i)\b(insert|update|delete)\b`)
 	tablePattern     = regexp.MustCompile(`(?is)\b(?:into|update|from)\s+([a-z_0-9.]+)`)
 	activityPattern  = regexp.MustCompile(`(?i)count\(\*\) FROM pg_stat_activity WHERE pid = (\d+).*$`)
+	homePattern      = regexp.MustCompile(`platform_(position|promote|follow)\(|pg_stat_activity`)
 	promotePattern   = regexp.MustCompile(`(?i)platform_promote\((\d+), '([^']*)', (\d+), '([^']*)'\)`)
 	followPattern    = regexp.MustCompile(`(?i)platform_follow\((\d+), '([^']*)', '([^']*)'\)`)
 	positionPattern  = regexp.MustCompile(`(?i)\bplatform_position\(\)`)
@@ -383,7 +384,9 @@
 		return ctx.Err()
 	}
 	defer func() { <-co.se.slots }()
-	co.se.statements.Add(1)
+	if !homePattern.MatchString(po.st.sql) {
+		co.se.statements.Add(1)
+	}
 	pause(ctx, co.se.opts.StatementCost+time.Duration(co.se.answerDelay.Load()))
 	if po.rows != nil {
 		return co.sendRows(po, nil, maxRows)
--- a/io/standin/upstr/upstr.go
+++ b/io/standin/upstr/upstr.go
@@ -189,8 +189,9 @@
 	}
 }
 
-// Statements returns how many statements have run.
-func (se *Server) Statements() int64 { return se.statements.Load() }
+// CallerStatements returns how many statements have run, the questions and
+// orders of a home left out.
+func (se *Server) CallerStatements() int64 { return se.statements.Load() }
 
 // PeakConnections returns the highest number of connections open at once.
 func (se *Server) PeakConnections() int64 { return se.peak.Load() }
--- a/tests/failover_test.go
+++ b/tests/failover_test.go
@@ -2,15 +2,22 @@
 
 import (
 	"context"
+	"os"
 	"testing"
 	"time"
 
 	"github.com/jackc/pgx/v5"
 	"github.com/jackc/pgx/v5/pgconn"
 	"github.com/stretchr/testify/require"
+	"google.golang.org/grpc/credentials"
+	"google.golang.org/grpc/credentials/insecure"
 
+	"banyanspring/core/conf"
 	"banyanspring/core/docum"
+	"banyanspring/core/place"
 	"banyanspring/io/fleet"
+	"banyanspring/io/home"
+	"banyanspring/io/peer"
 )
 
 // writeUntilDone repeats a statement until it is acknowledged.
@@ -120,6 +127,68 @@
 	require.Equal(t, "08007", pe.Code)
 }
 
+func TestLeavingUpstreamsGetNoNewWork(t *testing.T) {
+	fl := startFleet(t, nil)
+	hosts := fl.Daemons()
+	pc := connect(t, fl, hosts[1], "")
+	createOrders(t, pc)
+	group := fleet.GroupName(0, 0)
+	replica, primary := fl.Groups[group][1], fl.Groups[group][0]
+	require.NoError(t, fl.SetLeaving(t.Context(), group, replica.Name()))
+	require.NoError(t, fl.SetLeaving(t.Context(), group, primary.Name()))
+	require.Eventually(t, func() bool {
+		return fl.Primary(0, 0) == fl.Groups[group][2]
+	}, time.Minute, 20*time.Millisecond, "the leaving primary did not hand over")
+	writeUntilDone(t, pc, upsert, int64(1), "a")
+	// The homes' own questions are no work: they do not pass through a slot.
+	require.Equal(t, int64(1), countOrders(t, pc))
+	asked := replica.CallerStatements()
+	for range 20 {
+		require.Equal(t, int64(1), countOrders(t, pc))
+	}
+	require.Equal(t, asked, replica.CallerStatements())
+}
+
+func TestPeersNeedACertificateOfTheAuthority(t *testing.T) {
+	cert, key := writeCertificate(t)
+	fl := startFleet(t, func(opts *fleet.Options) {
+		opts.Settings = func(se *conf.Settings) {
+			se.Peer.TLSCert, se.Peer.TLSKey, se.Peer.TLSAuthority = cert, key, cert
+		}
+	})
+	pc := connect(t, fl, fl.Daemons()[2], "")
+	createOrders(t, pc)
+	require.Equal(t, int64(0), countOrders(t, pc))
+
+	mem := place.Member{ID: "target", Address: fl.Daemons()[0].PeerAddress()}
+	ask := func(creds credentials.TransportCredentials) error {
+		cl := peer.NewClient(creds, home.DialTCP)
+		defer cl.Close()
+		ctx, cancel := context.WithTimeout(t.Context(), 5*time.Second)
+		defer cancel()
+		_, err := cl.Cancel(ctx, mem, 0, 0)
+		return err
+	}
+	good, err := peer.NewIdentity(cert, key, cert)
+	require.NoError(t, err)
+	require.NoError(t, ask(good.Credentials()))
+	otherCert, otherKey := writeCertificate(t)
+	stranger, err := peer.NewIdentity(otherCert, otherKey, cert)
+	require.NoError(t, err)
+	require.Error(t, ask(stranger.Credentials()))
+	require.Error(t, ask(insecure.NewCredentials()))
+
+	// A certificate that is replaced is in force at the next connection.
+	for from, to := range map[string]string{cert: otherCert, key: otherKey} {
+		raw, err := os.ReadFile(from)
+		require.NoError(t, err)
+		require.NoError(t, os.WriteFile(to, raw, 0o600))
+		later := time.Now().Add(time.Minute)
+		require.NoError(t, os.Chtimes(to, later, later))
+	}
+	require.NoError(t, ask(stranger.Credentials()))
+}
+
 func TestPlannedChangeKeepsEverything(t *testing.T) {
 	fl := startFleet(t, nil)
 	pc := connect(t, fl, fl.Daemons()[0], "")
