Let the orders of a planned change outlive the call that asked for it

Cause: the orders to follow the new primary hung on the context of the operator's call and were cancelled as soon as it returned, so that members joined only with the guards' next round. Found by printing the steps of a planned change: the change itself took 25 to 70 ms, the wait for a majority in the new term 330 ms. Ruled out: open transactions (0.6 to 46 ms), the claim (0.4 ms), the promotion (20 ms).

--- a/io/daemon/guards.go
+++ b/io/daemon/guards.go
@@ -406,7 +406,8 @@
 	ho.learnTerm(gr.Name, claim)
 	for _, other := range gr.Members {
 		if other.Name != candidate {
-			go func() { _ = ho.orderFollow(ctx, gr, other.Name, claim) }()
+			// The orders outlive the call that asked for the change.
+			go func() { _ = ho.orderFollow(ho.background, gr, other.Name, claim) }()
 		}
 	}
 	return nil
