--- a/tests/bench_test.go
+++ b/tests/bench_test.go
@@ -3,6 +3,7 @@
 import (
 	"net"
 	"runtime"
+	"syscall"
 	"testing"
 
 	"github.com/jackc/pgx/v5"
@@ -169,3 +170,36 @@
 		})
 	}
 }
+
+// BenchmarkStatement runs reads from many sessions at once and reports the
+// processor time of a statement: the caller, the daemons and the stand-in
+// together.
+func BenchmarkStatement(b *testing.B) {
+	fl := benchFleet(b, 1, nil)
+	ho := fl.Daemons()[1]
+	first, err := pgx.Connect(b.Context(), fl.URL(ho, "stationers", 0, 0))
+	require.NoError(b, err)
+	defer func() { _ = first.Close(b.Context()) }()
+	_, err = first.Exec(b.Context(), "CREATE TABLE orders (id BIGINT PRIMARY KEY, item TEXT)")
+	require.NoError(b, err)
+	var before, after syscall.Rusage
+	require.NoError(b, syscall.Getrusage(syscall.RUSAGE_SELF, &before))
+	b.RunParallel(func(pb *testing.PB) {
+		pc, err := pgx.Connect(b.Context(), fl.URL(ho, "stationers", 0, 0))
+		if err != nil {
+			b.Error(err)
+			return
+		}
+		defer func() { _ = pc.Close(b.Context()) }()
+		var count int64
+		for pb.Next() {
+			if err := pc.QueryRow(b.Context(), "SELECT count(*) FROM orders").Scan(&count); err != nil {
+				b.Error(err)
+				return
+			}
+		}
+	})
+	require.NoError(b, syscall.Getrusage(syscall.RUSAGE_SELF, &after))
+	used := after.Utime.Nano() - before.Utime.Nano() + after.Stime.Nano() - before.Stime.Nano()
+	b.ReportMetric(float64(used)/float64(b.N)/1000, "cpu-us/op")
+}
