--- a/core/codes/codes.go
+++ b/core/codes/codes.go
@@ -45,9 +45,7 @@
 	DeadlineUnmet     Code = 302
 	TooManySessions   Code = 303
 	RetryBudgetSpent  Code = 304
-	NoConnection      Code = 305
 	ShuttingDown      Code = 306
-	StatementTimeout  Code = 307
 	TransactionIdle   Code = 308
 	ConnectionsInUse  Code = 309
 	RequestKeyTooOld  Code = 310
@@ -121,9 +119,7 @@
 	{DeadlineUnmet, "deadline_unmet", "53300", true, true, "the deadline would pass in the queue"},
 	{TooManySessions, "too_many_sessions", "53300", true, true, "the daemon's limit of sessions is reached"},
 	{RetryBudgetSpent, "retry_budget_spent", "53400", true, true, "the request failed and the retry budget is spent"},
-	{NoConnection, "no_connection", "53300", true, true, "no upstream connection became free in time"},
 	{ShuttingDown, "shutting_down", "57P01", true, true, "the daemon is leaving; connect again"},
-	{StatementTimeout, "statement_timeout", "57014", true, true, "the deadline passed before the statement was sent"},
 	{TransactionIdle, "transaction_idle", "25P03", true, true, "the transaction was idle for too long and was rolled back"},
 	{ConnectionsInUse, "connections_in_use", "53300", true, true, "the upstream has no connection left for this daemon"},
 	{RequestKeyTooOld, "request_key_too_old", "22023", true, false, "the request key is older than the age kept; whether it ran before is no longer known"},
--- a/core/event/event.go
+++ b/core/event/event.go
@@ -47,7 +47,6 @@
 	TermLearned      ID = 315
 
 	PeerUnreached ID = 401
-	HomesMoved    ID = 402
 	PeerLeaving   ID = 403
 
 	DocumentAdopted  ID = 501
@@ -104,7 +103,6 @@
 	{TermLearned, slog.LevelInfo, "term_learned", "The daemon learned of a newer term, from the platform or from a peer."},
 
 	{PeerUnreached, slog.LevelWarn, "peer_unreached", "Another daemon cannot be reached."},
-	{HomesMoved, slog.LevelInfo, "homes_moved", "The membership view changed and with it the homes held here."},
 	{PeerLeaving, slog.LevelInfo, "peer_leaving", "Another daemon said that it is leaving."},
 
 	{DocumentAdopted, slog.LevelInfo, "document_adopted", "A newer configuration document is in force here."},
--- a/io/daemon/guards.go
+++ b/io/daemon/guards.go
@@ -2,19 +2,15 @@
 
 import (
 	"context"
-	"encoding/json"
 	"sync"
 	"time"
 
-	"github.com/cockroachdb/errors"
-	"github.com/google/uuid"
-
 	"banyanspring/core/codes"
 	"banyanspring/core/event"
 	"banyanspring/core/posn"
 	"banyanspring/core/promo"
+	"banyanspring/io/delay"
 	"banyanspring/io/store"
-	"banyanspring/io/wire"
 )
 
 func init() {
@@ -90,7 +86,7 @@
 func newGuards(ho *Host) *guards { return &guards{ho: ho, groups: make(map[string]*guarded)} }
 
 func (gs *guards) loop() {
-	for pause(gs.ho.background, gs.ho.guardEvery()) {
+	for delay.Pause(gs.ho.background, gs.ho.guardEvery()) {
 		for _, gr := range gs.ho.groups.List() {
 			gs.visit(gr)
 		}
@@ -352,170 +348,3 @@
 		_ = gd.ho.Handover(gd.ho.background, gr.Name, target)
 	}()
 }
-
-// errClaimLost says that another attempt has claimed the term or a higher one.
-var errClaimLost = errors.New("another attempt claimed a term")
-
-// claim writes the term to the store on the version that this daemon knows. A
-// lost answer is read back by the identity of the attempt.
-func (ho *Host) claim(ctx context.Context, gr store.Group, te posn.Term) error {
-	kn, ok := ho.groups.known(gr.Name)
-	if !ok || te.Compare(kn.stored) <= 0 {
-		return errClaimLost
-	}
-	next := withTerm(kn.Group, te)
-	next.Claim = uuid.NewString()
-	_, err := ho.store.Put(ctx, store.KindGroup, gr.Name, kn.version, next)
-	if err == nil || ctx.Err() != nil {
-		return err
-	}
-	obj, readErr := ho.store.Get(ctx, store.KindGroup, gr.Name)
-	if readErr != nil {
-		return err
-	}
-	var now store.Group
-	if err := json.Unmarshal(obj.Value, &now); err != nil {
-		return err
-	}
-	if now.Claim == next.Claim {
-		return nil
-	}
-	if offerErr := ho.groups.offer(obj); offerErr != nil {
-		return offerErr
-	}
-	return errClaimLost
-}
-
-// changePrimary claims the term in the store, if that answers, and orders the
-// candidate to lead it. What makes it safe is not the claim but that the
-// promotion is conditional on the candidate's term.
-func (ho *Host) changePrimary(ctx context.Context, gr store.Group, candidate string, expected, claim posn.Term) error {
-	mem, ok := gr.GetMemberByName(candidate)
-	if !ok {
-		return codes.Refuse(codes.OrderRefused, "%q is no member of %q", candidate, gr.Name)
-	}
-	claimCtx, cancel := context.WithTimeout(ctx, claimTimeout)
-	err := ho.claim(claimCtx, gr, claim)
-	cancel()
-	if errors.Is(err, errClaimLost) {
-		return err
-	}
-	if err := ho.orderPromote(ctx, gr, mem, expected, claim); err != nil {
-		return err
-	}
-	ho.learnTerm(gr.Name, claim)
-	for _, other := range gr.Members {
-		if other.Name != candidate {
-			// The orders outlive the call that asked for the change.
-			go func() { _ = ho.orderFollow(ho.background, gr, other.Name, claim) }()
-		}
-	}
-	return nil
-}
-
-func (ho *Host) orderPromote(ctx context.Context, gr store.Group, mem store.Member, expected, claim posn.Term) error {
-	return ho.order(ctx, mem, &wire.OrderRequest{
-		Group:    gr.Name,
-		Upstream: mem.Name,
-		Expected: wire.FromPosition(posn.Position{Term: expected}),
-		Claim:    wire.FromPosition(posn.Position{Term: claim}),
-	})
-}
-
-func (ho *Host) orderFollow(ctx context.Context, gr store.Group, name string, leading posn.Term) error {
-	mem, ok := gr.GetMemberByName(name)
-	if !ok {
-		return codes.Refuse(codes.OrderRefused, "%q is no member of %q", name, gr.Name)
-	}
-	return ho.order(ctx, mem, &wire.OrderRequest{
-		Group:    gr.Name,
-		Upstream: name,
-		Claim:    wire.FromPosition(posn.Position{Term: leading}),
-		Follow:   leading.Primary,
-	})
-}
-
-// order passes an order on to the home of the upstream.
-func (ho *Host) order(ctx context.Context, mem store.Member, rq *wire.OrderRequest) error {
-	ctx, cancel := context.WithTimeout(ctx, orderTimeout)
-	defer cancel()
-	at := ho.homeOf(mem)
-	if ho.isSelf(at) {
-		return ho.carryOut(ctx, rq)
-	}
-	return ho.client.Order(ctx, at, rq)
-}
-
-// orderTimeout bounds one order, the way to the home included.
-const orderTimeout = 3 * time.Second
-
-// carryOut carries an order out at an upstream that is homed here.
-func (ho *Host) carryOut(ctx context.Context, rq *wire.OrderRequest) error {
-	claim := wire.ToPosition(rq.Claim).Term
-	if rq.Follow == "" {
-		err := ho.homes.Promote(ctx, rq.Group, rq.Upstream, wire.ToPosition(rq.Expected).Term, claim)
-		if err == nil {
-			ho.learnTerm(rq.Group, claim)
-		}
-		return err
-	}
-	gr, ok := ho.groups.Get(rq.Group)
-	if !ok {
-		return codes.Refuse(codes.NotHome, "group %q is not known here", rq.Group)
-	}
-	leader, ok := gr.GetMemberByName(rq.Follow)
-	if !ok {
-		return codes.Refuse(codes.OrderRefused, "%q is no member of %q", rq.Follow, rq.Group)
-	}
-	ho.learnTerm(rq.Group, claim)
-	return ho.homes.Follow(ctx, rq.Group, rq.Upstream, claim, leader)
-}
-
-// Handover runs a planned change of primary, wherever the primary is homed.
-func (ho *Host) Handover(ctx context.Context, group, target string) error {
-	gr, ok := ho.groups.Get(group)
-	if !ok {
-		return codes.Refuse(codes.NotHome, "group %q is not known here", group)
-	}
-	mem, err := primaryOf(gr)
-	if err != nil {
-		return err
-	}
-	at := ho.homeOf(mem)
-	rq := &wire.HandoverRequest{Group: group, Upstream: mem.Name, Target: target}
-	if ho.isSelf(at) {
-		return ho.handOver(ctx, rq)
-	}
-	return ho.client.Handover(ctx, at, rq)
-}
-
-// handOver runs at the home of the primary: it stops new work, lets the work in
-// hand end, waits for the target to have all of it, and changes the primary.
-func (ho *Host) handOver(ctx context.Context, rq *wire.HandoverRequest) error {
-	gr, ok := ho.groups.Get(rq.Group)
-	if !ok {
-		return codes.Refuse(codes.NotHome, "group %q is not known here", rq.Group)
-	}
-	target, ok := gr.GetMemberByName(rq.Target)
-	if !ok || rq.Target == gr.Primary || rq.Upstream != gr.Primary {
-		return codes.Refuse(codes.OrderRefused, "%q cannot take over from %q", rq.Target, rq.Upstream)
-	}
-	at, resume, err := ho.homes.Quiesce(ctx, rq.Group, rq.Upstream)
-	if err != nil {
-		return err
-	}
-	defer resume()
-	got, err := ho.awaitPosition(ctx, gr, target, at, handoverWait)
-	if err != nil || !got.Covers(at, false) {
-		return codes.Refuse(codes.Behind, "%s did not catch up: %v", rq.Target, err)
-	}
-	claim := posn.Term{Number: at.Term.Number + 1, Primary: rq.Target}
-	if err := ho.changePrimary(ctx, gr, rq.Target, at.Term, claim); err != nil {
-		return err
-	}
-	event.Log(ho.Log, event.HandoverDone, "group", rq.Group, "primary", rq.Target, "term", claim.Number)
-	return nil
-}
-
-// handoverWait bounds the wait for the target of a planned change.
-const handoverWait = 2 * time.Second
--- a/io/daemon/members.go
+++ b/io/daemon/members.go
@@ -1,10 +1,12 @@
 package daemon
 
 import (
+	"log/slog"
 	"sync"
 	"sync/atomic"
 	"time"
 
+	"banyanspring/core/event"
 	"banyanspring/core/place"
 	"banyanspring/io/store"
 )
@@ -12,6 +14,7 @@
 // membership merges the platform's list with what the daemon has seen itself.
 type membership struct {
 	view atomic.Pointer[place.View]
+	log  *slog.Logger
 
 	mu sync.Mutex
 	// listed is the platform's list as last read.
@@ -30,8 +33,9 @@
 	leavingPause = 30 * time.Second
 )
 
-func newMembership(self place.Member) *membership {
+func newMembership(self place.Member, log *slog.Logger) *membership {
 	ms := &membership{
+		log:      log,
 		leaving:  make(map[string]time.Time),
 		suspects: make(map[string]time.Time),
 		self:     self,
@@ -83,6 +87,9 @@
 func (ms *membership) Suspect(id string, now time.Time) {
 	ms.mu.Lock()
 	defer ms.mu.Unlock()
+	if _, isKnown := ms.suspects[id]; !isKnown {
+		event.Log(ms.log, event.PeerUnreached, "member", id)
+	}
 	ms.suspects[id] = now.Add(suspectPause)
 	ms.rebuild()
 }
--- a/io/daemon/mirror_test.go
+++ b/io/daemon/mirror_test.go
@@ -1,6 +1,7 @@
 package daemon
 
 import (
+	"log/slog"
 	"testing"
 	"time"
 
@@ -36,7 +37,7 @@
 
 func TestMembershipMergesWhatWasSeen(t *testing.T) {
 	now := time.Unix(1000, 0)
-	ms := newMembership(place.Member{ID: "a", Domain: "d"})
+	ms := newMembership(place.Member{ID: "a", Domain: "d"}, slog.New(slog.DiscardHandler))
 	ms.SetListed([]store.Instance{{ID: "a"}, {ID: "b", Domain: "d"}, {ID: "c", Domain: "d"}})
 	require.Len(t, ms.View(now).Members(), 3)
 	ms.Suspect("b", now)
--- a/io/daemon/platform.go
+++ b/io/daemon/platform.go
@@ -12,6 +12,7 @@
 	"banyanspring/core/event"
 	"banyanspring/core/life"
 	"banyanspring/core/place"
+	"banyanspring/io/delay"
 	"banyanspring/io/store"
 )
 
@@ -30,7 +31,7 @@
 	ho.store = store.New(ho.Settings.Platform.Address, ho.seams.PlatformTransport)
 	ho.groups = newGroupCache()
 	ho.mirror = newMirror(ho.seams.Now())
-	ho.members = newMembership(ho.self())
+	ho.members = newMembership(ho.self(), ho.Log)
 	ho.follower = &follower{ho: ho}
 	return ho.follower.first(ctx)
 }
@@ -63,7 +64,7 @@
 		if err == nil {
 			return nil
 		}
-		if !pause(ctx, firstRetry) {
+		if !delay.Pause(ctx, firstRetry) {
 			return err
 		}
 	}
@@ -138,7 +139,7 @@
 			return
 		}
 		if err != nil {
-			pause(ctx, jitter(wait))
+			delay.Pause(ctx, jitter(wait))
 			wait = min(2*wait, watchRetryMax)
 			continue
 		}
@@ -190,7 +191,7 @@
 func (fo *follower) lookOnce(kind string, after uint64) ([]store.Object, error) {
 	ctx, cancel := context.WithTimeout(fo.ho.background, peerGrace)
 	defer cancel()
-	if !pause(ctx, jitter(watchRetryMin)) {
+	if !delay.Pause(ctx, jitter(watchRetryMin)) {
 		return nil, ctx.Err()
 	}
 	if kind != store.KindInstanceList {
@@ -225,7 +226,7 @@
 // list reads the platform's list of daemons now and then, if this daemon is
 // the delegate of its failure domain.
 func (fo *follower) list() {
-	for pause(fo.ho.background, fo.ho.Settings.Platform.ListEvery) {
+	for delay.Pause(fo.ho.background, fo.ho.Settings.Platform.ListEvery) {
 		if _, ok := fo.source(); ok {
 			continue
 		}
@@ -261,15 +262,3 @@
 	_, err := ho.store.PutAlways(ctx, store.KindInstance, ins.ID, ins)
 	return err
 }
-
-// pause waits and reports whether the context still stands.
-func pause(ctx context.Context, wait time.Duration) bool {
-	timer := time.NewTimer(wait)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
--- a/io/daemon/plugins.go
+++ b/io/daemon/plugins.go
@@ -21,6 +21,7 @@
 	"banyanspring/core/life"
 	"banyanspring/core/posn"
 	"banyanspring/io/batch"
+	"banyanspring/io/delay"
 	"banyanspring/io/front"
 	"banyanspring/io/home"
 	"banyanspring/io/metric"
@@ -163,7 +164,7 @@
 const trimEvery = 250 * time.Millisecond
 
 func (ho *Host) trim() {
-	for pause(ho.background, trimEvery) {
+	for delay.Pause(ho.background, trimEvery) {
 		ho.client.Trim(ho.seams.Now())
 		ho.client.Test(ho.background)
 		ho.homes.Trim(func(mem store.Member) bool { return ho.isSelf(ho.homeOf(mem)) })
--- a/io/home/confirm.go
+++ b/io/home/confirm.go
@@ -9,6 +9,7 @@
 	"banyanspring/core/confm"
 	"banyanspring/core/event"
 	"banyanspring/core/posn"
+	"banyanspring/io/delay"
 	"banyanspring/io/store"
 )
 
@@ -161,7 +162,7 @@
 		}
 		at, err := cf.up.peers.AwaitPosition(cf.done, gr, mem, want, askWait)
 		if err != nil {
-			pause(cf.done, askRetry)
+			delay.Pause(cf.done, askRetry)
 			continue
 		}
 		cf.report(mem.Name, at)
--- a/io/home/fresh.go
+++ b/io/home/fresh.go
@@ -8,6 +8,7 @@
 	"banyanspring/core/codes"
 	"banyanspring/core/posn"
 	"banyanspring/io/batch"
+	"banyanspring/io/delay"
 )
 
 // sample is a position of the primary that a majority confirmed.
@@ -236,7 +237,7 @@
 		if isPast || got.position.Covers(want, false) || !up.now().Add(wait).Before(limit) {
 			return got.position, nil
 		}
-		if !pause(ctx, wait) {
+		if !delay.Pause(ctx, wait) {
 			return got.position, nil
 		}
 		wait = min(2*wait, maxPoll)
--- a/io/home/order.go
+++ b/io/home/order.go
@@ -9,6 +9,7 @@
 	"banyanspring/core/event"
 	"banyanspring/core/posn"
 	"banyanspring/core/promo"
+	"banyanspring/io/delay"
 	"banyanspring/io/store"
 )
 
@@ -106,7 +107,7 @@
 	resume := func() { up.handing.Store(false) }
 	deadline := ma.now().Add(drainLimit)
 	for up.leading.Load() > 0 {
-		if !ma.now().Before(deadline) || !pause(ctx, drainPoll) {
+		if !ma.now().Before(deadline) || !delay.Pause(ctx, drainPoll) {
 			resume()
 			return posn.Position{}, nil, codes.Refuse(codes.OrderRefused, "%d transactions are still open at %s", up.leading.Load(), name)
 		}
--- a/io/home/upstream.go
+++ b/io/home/upstream.go
@@ -15,6 +15,7 @@
 	"banyanspring/core/event"
 	"banyanspring/core/posn"
 	"banyanspring/io/batch"
+	"banyanspring/io/delay"
 	"banyanspring/io/store"
 )
 
@@ -62,8 +63,6 @@
 	violations atomic.Int64
 	// members names the group's members when the home was opened.
 	members []string
-	// lastUsed is when the upstream last served anything, in Unix nanoseconds.
-	lastUsed atomic.Int64
 }
 
 // controlConnections is how many of an upstream's connections are not for
@@ -119,7 +118,7 @@
 		if !codes.Is(err, codes.ConnectionsInUse) || !up.now().Add(inUseRetry).Before(deadline) {
 			return co, err
 		}
-		if !pause(ctx, inUseRetry) {
+		if !delay.Pause(ctx, inUseRetry) {
 			return nil, err
 		}
 	}
@@ -163,6 +162,9 @@
 	defer cancel()
 	co, err := up.dialer.open(ctx)
 	up.noteReach(err)
+	if err == nil {
+		event.Log(up.log, event.ConnectionOpened, "upstream", up.member.Name, "pid", co.pid)
+	}
 	return co, err
 }
 
@@ -183,6 +185,7 @@
 	if co.doubt || co.cancelled.Load() || co.status != 'I' || len(co.evicted) > up.settings.StatementsPerConnection {
 		co.doubt = true
 		co.close()
+		event.Log(up.log, event.ConnectionClosed, "upstream", up.member.Name, "pid", co.pid)
 		return
 	}
 	co.idleSince = up.now()
@@ -262,7 +265,6 @@
 		release()
 		return nil, nil, err
 	}
-	up.lastUsed.Store(up.now().UnixNano())
 	return co, func() { up.put(co); release() }, nil
 }
 
@@ -386,18 +388,6 @@
 	}
 }
 
-// pause waits and reports whether the context still stands.
-func pause(ctx context.Context, wait time.Duration) bool {
-	timer := time.NewTimer(wait)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
-
 // DialTCP opens a plain connection; it is the default of the dial seam.
 func DialTCP(ctx context.Context, address string) (net.Conn, error) {
 	var di net.Dialer
--- a/io/standin/upstr/conn.go
+++ b/io/standin/upstr/conn.go
@@ -15,6 +15,8 @@
 	"github.com/cockroachdb/errors"
 	"github.com/jackc/pgx/v5/pgproto3"
 	"github.com/jackc/pgx/v5/pgtype"
+
+	"banyanspring/io/delay"
 )
 
 // conn is one client connection.
@@ -101,7 +103,7 @@
 }
 
 func (se *Server) session(ctx context.Context, nc net.Conn, be *pgproto3.Backend) {
-	if !pause(ctx, se.opts.ConnectCost) {
+	if !delay.Pause(ctx, se.opts.ConnectCost) {
 		return
 	}
 	defer se.open.Add(-1)
@@ -198,7 +200,7 @@
 			return
 		}
 		for co.se.paused.Load() || co.silent.Load() {
-			if !pause(ctx, time.Millisecond) || co.isGone() {
+			if !delay.Pause(ctx, time.Millisecond) || co.isGone() {
 				return
 			}
 		}
--- a/io/standin/upstr/exec.go
+++ b/io/standin/upstr/exec.go
@@ -15,6 +15,7 @@
 	"github.com/jackc/pgx/v5/pgtype"
 
 	"banyanspring/core/posn"
+	"banyanspring/io/delay"
 )
 
 var (
@@ -78,7 +79,7 @@
 func (co *conn) translate(ctx context.Context, text string) (string, error) {
 	if found := sleepPattern.FindStringSubmatch(text); found != nil {
 		seconds, _ := strconv.ParseFloat(found[1], 64)
-		if !pause(ctx, time.Duration(seconds*float64(time.Second))) {
+		if !delay.Pause(ctx, time.Duration(seconds*float64(time.Second))) {
 			return "", context.Canceled
 		}
 		text = sleepPattern.ReplaceAllString(text, "''")
@@ -387,7 +388,7 @@
 	if !homePattern.MatchString(po.st.sql) {
 		co.se.statements.Add(1)
 	}
-	pause(ctx, co.se.opts.StatementCost+time.Duration(co.se.answerDelay.Load()))
+	delay.Pause(ctx, co.se.opts.StatementCost+time.Duration(co.se.answerDelay.Load()))
 	if po.rows != nil {
 		return co.sendRows(po, nil, maxRows)
 	}
--- a/io/standin/upstr/ship.go
+++ b/io/standin/upstr/ship.go
@@ -14,6 +14,7 @@
 	"github.com/cockroachdb/errors"
 
 	"banyanspring/core/posn"
+	"banyanspring/io/delay"
 )
 
 // batchOfLog is what a primary answers to a follower.
@@ -66,7 +67,7 @@
 		return
 	}
 	for se.paused.Load() {
-		if !pause(rq.Context(), time.Millisecond) {
+		if !delay.Pause(rq.Context(), time.Millisecond) {
 			return
 		}
 	}
@@ -124,7 +125,7 @@
 		err := se.step(ctx, client, from)
 		if err != nil && se.follows(from) {
 			transport.CloseIdleConnections()
-			pause(ctx, retryWait)
+			delay.Pause(ctx, retryWait)
 		}
 	}
 }
@@ -233,7 +234,7 @@
 		if wait <= 0 && !se.stopped.Load() && !se.paused.Load() {
 			break
 		}
-		if !pause(ctx, min(max(wait, time.Millisecond), checkInterval)) {
+		if !delay.Pause(ctx, min(max(wait, time.Millisecond), checkInterval)) {
 			return false
 		}
 		se.markReceived(from)
--- a/io/standin/upstr/upstr.go
+++ b/io/standin/upstr/upstr.go
@@ -323,18 +323,6 @@
 	return out
 }
 
-// pause waits and reports whether the context still stands.
-func pause(ctx context.Context, wait time.Duration) bool {
-	timer := time.NewTimer(wait)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
-
 func (se *Server) accept(ctx context.Context) {
 	defer se.wg.Done()
 	for {
