--- a/core/promo/promo_test.go
+++ b/core/promo/promo_test.go
@@ -1,6 +1,8 @@
 package promo
 
 import (
+	"math/rand/v2"
+	"slices"
 	"testing"
 	"time"
 
@@ -122,3 +124,35 @@
 	}
 	require.Fail(t, "the group stayed stuck")
 }
+
+// TestDelayedProbesPromoteNobody delays 5% of the probes by a second for an
+// hour. A replica whose primary is well has heard of it within half a second.
+func TestDelayedProbesPromoteNobody(t *testing.T) {
+	rng := rand.New(rand.NewPCG(1, 2))
+	gu := newGuard(0)
+	type answer struct {
+		name      string
+		report    Report
+		asked, at time.Time
+	}
+	var under []answer
+	for now := began; now.Before(began.Add(time.Hour)); now = now.Add(200 * time.Millisecond) {
+		for _, name := range []string{"a", "b", "c"} {
+			took := time.Duration(rng.IntN(20)) * time.Millisecond
+			if rng.Float64() < 0.05 {
+				took += time.Second
+			}
+			heard := now.Add(-time.Duration(rng.IntN(500)) * time.Millisecond)
+			re := Report{Term: term(1, "a"), Entry: entry(1, "a", 5), Primary: name == "a", Received: heard}
+			under = append(under, answer{name: name, report: re, asked: now, at: now.Add(took)})
+		}
+		under = slices.DeleteFunc(under, func(an answer) bool {
+			if an.at.After(now) {
+				return false
+			}
+			gu.Observe(an.name, an.report, an.asked)
+			return true
+		})
+		require.Empty(t, gu.Decide(now).Promote, "promoted after %v", now.Sub(began))
+	}
+}
