Start from peers while the store is down

Cause: a daemon that was replaced during an outage of the store waited for it, and a cut-off failure domain lost the daemon for as long. Change: [peer] seeds names peers; a starting daemon takes what they have, each object by its version, and tells the platform of itself later. Tests of the smaller decisions (routes, adoption, floors, retries, kernel, shared questions). Before: TestDaemonStartsFromItsPeersWhileTheStoreIsDown waited until its own end. After: it starts with the version in force and serves.

--- a/core/conf/peer.go
+++ b/core/conf/peer.go
@@ -7,6 +7,8 @@
 	// TLSCert, TLSKey and TLSAuthority are PEM files for mutual TLS; without
 	// them daemons talk in clear text.
 	TLSCert, TLSKey, TLSAuthority string
+	// Seeds are addresses of peers to start from while the store is down.
+	Seeds []string
 }
 
 func parsePeer(re *reader) Peer {
@@ -15,6 +17,7 @@
 		TLSCert:      re.text("tls_cert", "", false),
 		TLSKey:       re.text("tls_key", "", false),
 		TLSAuthority: re.text("tls_authority", "", false),
+		Seeds:        re.addresses("seeds"),
 	}
 	given := 0
 	for _, file := range []string{pe.TLSCert, pe.TLSKey, pe.TLSAuthority} {
--- a/core/conf/reader.go
+++ b/core/conf/reader.go
@@ -88,6 +88,22 @@
 	return val
 }
 
+// addresses reads a list of "ip:port" with commas between; it may be empty.
+func (re *reader) addresses(key string) []string {
+	var out []string
+	for _, part := range strings.Split(re.raw(key, ""), ",") {
+		part = strings.TrimSpace(part)
+		if part == "" {
+			continue
+		}
+		if _, err := netip.ParseAddrPort(part); err != nil {
+			re.fail(key, "want ip:port, got %q", part)
+		}
+		out = append(out, part)
+	}
+	return out
+}
+
 func (re *reader) number(key string, fallback, low, high int) int {
 	val := re.raw(key, strconv.Itoa(fallback))
 	num, err := strconv.Atoi(val)
--- /dev/null
+++ b/core/retry/retry_test.go
@@ -0,0 +1,19 @@
+package retry
+
+import (
+	"testing"
+
+	"github.com/stretchr/testify/require"
+)
+
+func TestRetriesStayAShareOfRequests(t *testing.T) {
+	bu := New(0.2, 10)
+	allowed := 0
+	for range 1000 {
+		bu.Request()
+		if bu.Take() {
+			allowed++
+		}
+	}
+	require.InDelta(t, 210, allowed, 2)
+}
--- /dev/null
+++ b/io/batch/batch_test.go
@@ -0,0 +1,48 @@
+package batch
+
+import (
+	"context"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"banyanspring/core/codes"
+)
+
+func TestOneQuestionServesAllWhoCameBeforeIt(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		asked := 0
+		as := New(time.Minute, codes.NoMajority, func(context.Context) (int, error) {
+			asked++
+			time.Sleep(time.Second)
+			return asked, nil
+		})
+		answers := make(chan int, 20)
+		for range 10 {
+			go func() {
+				came := time.Now()
+				got, at, err := as.Ask(t.Context())
+				require.NoError(t, err)
+				require.False(t, at.Before(came), "the question was sent before the asker came")
+				answers <- got
+			}()
+			time.Sleep(50 * time.Millisecond)
+		}
+		time.Sleep(time.Minute)
+		require.Len(t, answers, 10)
+		require.Equal(t, 2, asked)
+	})
+}
+
+func TestLateQuestionsHaveACode(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		as := New(time.Second, codes.NoMajority, func(ctx context.Context) (int, error) {
+			<-ctx.Done()
+			return 0, ctx.Err()
+		})
+		_, _, err := as.Ask(t.Context())
+		require.True(t, codes.Is(err, codes.NoMajority))
+	})
+}
--- a/io/daemon/mirror.go
+++ b/io/daemon/mirror.go
@@ -100,6 +100,12 @@
 	}
 }
 
+// Snapshot returns the objects of a kind that the daemon has.
+func (mi *mirror) Snapshot(kind string) []store.Object {
+	objs, _, _ := mi.past(kind, 0)
+	return objs
+}
+
 func (mi *mirror) past(kind string, after uint64) ([]store.Object, bool, <-chan struct{}) {
 	mi.mu.Lock()
 	defer mi.mu.Unlock()
--- a/io/daemon/platform.go
+++ b/io/daemon/platform.go
@@ -13,6 +13,7 @@
 	"banyanspring/core/life"
 	"banyanspring/core/place"
 	"banyanspring/io/delay"
+	"banyanspring/io/peer"
 	"banyanspring/io/store"
 )
 
@@ -33,6 +34,11 @@
 	ho.mirror = newMirror(ho.seams.Now())
 	ho.members = newMembership(ho.self(), ho.Log)
 	ho.follower = &follower{ho: ho}
+	creds, err := peerCredentials(ho.Settings.Peer)
+	if err != nil {
+		return err
+	}
+	ho.client = peer.NewClient(creds, ho.seams.DialPeer)
 	return ho.follower.first(ctx)
 }
 
@@ -56,12 +62,18 @@
 // firstRetry is the pause between tries to read the platform at the start.
 const firstRetry = 200 * time.Millisecond
 
-// first waits for the groups and the list; the document may come later.
+// firstTimeout bounds one try to read the platform at the start.
+const firstTimeout = 2 * time.Second
+
+// first waits for the groups and the list, from the store or, while that is
+// down, from the peers that the settings name. The document may come later.
 func (fo *follower) first(ctx context.Context) error {
 	for {
-		err := fo.readAll(ctx)
+		tryCtx, cancel := context.WithTimeout(ctx, firstTimeout)
+		err := fo.readAll(tryCtx)
+		cancel()
 		fo.note(err)
-		if err == nil {
+		if err == nil || fo.readPeers(ctx) {
 			return nil
 		}
 		if !delay.Pause(ctx, firstRetry) {
@@ -95,6 +107,32 @@
 	return nil
 }
 
+// readPeers takes what the peers of the settings have; each object counts by
+// its version, so that the highest of all is in force. It reports whether the
+// groups and the document are known now.
+func (fo *follower) readPeers(ctx context.Context) bool {
+	ctx, cancel := context.WithTimeout(ctx, firstTimeout)
+	defer cancel()
+	takers := map[string]func(store.Object){
+		store.KindGroup:        fo.group,
+		store.KindDocument:     fo.document,
+		store.KindInstanceList: fo.instances,
+	}
+	for _, address := range fo.ho.Settings.Peer.Seeds {
+		for kind, take := range takers {
+			objs, err := fo.ho.client.Snapshot(ctx, place.Member{ID: address, Address: address}, kind)
+			if err != nil {
+				break
+			}
+			for _, obj := range objs {
+				take(obj)
+				fo.ho.mirror.Put(obj)
+			}
+		}
+	}
+	return len(fo.ho.groups.List()) > 0 && fo.ho.DocumentVersion() > 0
+}
+
 // note logs when the platform stops or starts to answer.
 func (fo *follower) note(err error) {
 	isDown := err != nil
--- a/io/daemon/plugins.go
+++ b/io/daemon/plugins.go
@@ -49,11 +49,30 @@
 	registry.Register(plugin{
 		Name:  "announce",
 		Stage: stageAnnounce,
-		Start: func(ctx context.Context, ho *Host) error { return ho.announce(ctx) },
+		Start: startAnnounce,
 		Drain: drainAnnounce,
 	})
 }
 
+// announceRetry is the pause between tries to tell the platform of the daemon.
+const announceRetry = time.Second
+
+// startAnnounce tells the platform that the daemon runs. A store that is down
+// does not hold the daemon up; it is told later.
+func startAnnounce(ctx context.Context, ho *Host) error {
+	ctx, cancel := context.WithTimeout(ctx, firstTimeout)
+	defer cancel()
+	if ho.announce(ctx) == nil {
+		return nil
+	}
+	go func() {
+		for delay.Pause(ho.background, announceRetry) && ho.announce(ho.background) != nil {
+			continue
+		}
+	}()
+	return nil
+}
+
 // startListen opens the ports first, so that addresses are known to all.
 func startListen(_ context.Context, ho *Host) error {
 	var err error
@@ -124,7 +143,6 @@
 	if err != nil {
 		return err
 	}
-	ho.client = peer.NewClient(creds, ho.seams.DialPeer)
 	ho.homes = home.New(ho.Settings.Home, ho.Log, ho.seams.Now, ho.seams.DialUpstream, ho.groups.Get, home.Peers{
 		AwaitPosition: ho.awaitPosition,
 		AskPosition:   ho.askPosition,
@@ -136,6 +154,7 @@
 		Cancel:   func(pid, secret uint32) bool { return ho.front != nil && ho.front.Cancel(pid, secret) },
 		Order:    ho.carryOut,
 		Watch:    ho.mirror.Watch,
+		Snapshot: ho.mirror.Snapshot,
 		Handover: ho.handOver,
 		Leave: func(member string) {
 			event.Log(ho.Log, event.PeerLeaving, "member", member)
--- a/io/peer/client.go
+++ b/io/peer/client.go
@@ -326,7 +326,25 @@
 	if err != nil {
 		return nil, unreached(mem, err)
 	}
-	re, err := pc.Watch(ctx, &wire.WatchRequest{Kind: kind, After: after, Wait: durationpb.New(wait)})
+	return watchResult(mem, pc, ctx, &wire.WatchRequest{Kind: kind, After: after, Wait: durationpb.New(wait)})
+}
+
+// Snapshot asks a member for the objects of a kind that it has.
+func (cl *Client) Snapshot(ctx context.Context, mem place.Member, kind string) ([]store.Object, error) {
+	pc, err := cl.peer(mem.Address)
+	if err != nil {
+		return nil, unreached(mem, err)
+	}
+	return watchResult(mem, pc, ctx, &wire.WatchRequest{Kind: kind, Snapshot: true})
+}
+
+func watchResult(
+	mem place.Member,
+	pc wire.PeerClient,
+	ctx context.Context, //nolint:revive // the peer it belongs to comes first
+	rq *wire.WatchRequest,
+) ([]store.Object, error) {
+	re, err := pc.Watch(ctx, rq)
 	if err != nil {
 		return nil, unreached(mem, err)
 	}
--- a/io/peer/server.go
+++ b/io/peer/server.go
@@ -41,6 +41,8 @@
 	Handover func(ctx context.Context, rq *wire.HandoverRequest) error
 	// Watch waits for objects past a version; false if they are not followed.
 	Watch func(ctx context.Context, kind string, after uint64, wait time.Duration) ([]store.Object, bool)
+	// Snapshot returns the objects of a kind that the daemon has.
+	Snapshot func(kind string) []store.Object
 	// Leave notes that a member is leaving.
 	Leave func(member string)
 }
@@ -146,7 +148,13 @@
 
 // Watch implements wire.PeerServer.
 func (se *Server) Watch(ctx context.Context, rq *wire.WatchRequest) (*wire.WatchReply, error) {
-	objs, known := se.handlers.Watch(ctx, rq.Kind, rq.After, rq.Wait.AsDuration())
+	var objs []store.Object
+	known := true
+	if rq.Snapshot {
+		objs = se.handlers.Snapshot(rq.Kind)
+	} else {
+		objs, known = se.handlers.Watch(ctx, rq.Kind, rq.After, rq.Wait.AsDuration())
+	}
 	re := &wire.WatchReply{Known: known}
 	for _, obj := range objs {
 		re.Objects = append(re.Objects, &wire.Object{Kind: obj.Kind, Name: obj.Name, Version: obj.Version, Value: obj.Value})
--- a/tests/failover_test.go
+++ b/tests/failover_test.go
@@ -127,6 +127,25 @@
 	require.Equal(t, "08007", pe.Code)
 }
 
+func TestDaemonStartsFromItsPeersWhileTheStoreIsDown(t *testing.T) {
+	var seed string
+	fl := startFleet(t, func(opts *fleet.Options) {
+		opts.Settings = func(se *conf.Settings) {
+			if seed != "" {
+				se.Peer.Seeds = []string{"127.0.0.1:1", seed}
+			}
+		}
+	})
+	hosts := fl.Daemons()
+	createOrders(t, connect(t, fl, hosts[0], ""))
+	seed = hosts[1].PeerAddress()
+	fl.Platform.SetDown(true)
+	fresh, err := fl.StartDaemon(t.Context(), fl.PlaceOf(hosts[2]))
+	require.NoError(t, err)
+	require.Equal(t, hosts[0].DocumentVersion(), fresh.DocumentVersion())
+	require.Equal(t, int64(0), countOrders(t, connect(t, fl, fresh, "")))
+}
+
 func TestLeavingUpstreamsGetNoNewWork(t *testing.T) {
 	fl := startFleet(t, nil)
 	hosts := fl.Daemons()
