Draw reports that need no network

Cause: the charting library's page loaded its scripts from a host on the internet, so that the plots stayed empty on a closed network. Change: plots drawn as SVG into the page by another library.

--- a/io/load/report.go
+++ b/io/load/report.go
@@ -1,78 +1,104 @@
 package load
 
 import (
+	"bytes"
 	"fmt"
+	"html/template"
+	"io"
 	"os"
 	"path/filepath"
 
-	"github.com/go-echarts/go-echarts/v2/charts"
-	"github.com/go-echarts/go-echarts/v2/components"
-	"github.com/go-echarts/go-echarts/v2/opts"
+	"github.com/wcharczuk/go-chart/v2"
 )
 
 // outcomeNames label the lines of the plot, by outcome.
 var outcomeNames = [5]string{"done", "not run", "unknown", "cut", "failed"}
 
-// WriteReport writes an HTML page with plots of the run into a directory.
+// page is a whole report; its plots are part of it, so that it needs no network.
+var page = template.Must(template.New("report").Parse(`<!doctype html>
+<html lang="en"><head><meta charset="utf-8"><title>banyanspring {{(index . 0).Scenario}}</title>
+<style>body{font-family:sans-serif;max-width:60em;margin:2em auto}td,th{padding:.2em .8em;text-align:right}</style>
+</head><body>
+{{range .}}<h1>{{.Scenario}}, policy {{.Policy}}, seed {{.Seed}}</h1>
+<p>{{.Requests}} requests in {{printf "%.1f" .Seconds}} s; reads served by replicas {{printf "%.3f" .ReplicaReadShare}};
+failover gap {{printf "%.0f" .FailoverGapMillis}} ms; broken promises {{.Violations}}{{range .Faults}}; fault {{.}}{{end}}</p>
+<h2>Requests by outcome in each 100 ms</h2>{{.RequestsPlot}}
+<h2>p99 by caller and phase, in ms</h2>{{.LatencyPlot}}
+<table><tr><th>caller</th><th>phase</th><th>requests</th><th>p50 ms</th><th>p99 ms</th><th>refused</th></tr>
+{{range .Callers}}<tr><td>{{.Caller}}</td><td>{{.Phase}}</td><td>{{.Requests}}</td><td>{{.P50Millis}}</td><td>{{.P99Millis}}</td><td>{{.Refused}}</td></tr>
+{{end}}</table>{{end}}</body></html>
+`))
+
+// section is one run in a report.
+type section struct {
+	*Result
+	RequestsPlot, LatencyPlot template.HTML
+}
+
+// WriteReport writes an HTML page with plots of the run, and of its baseline if
+// it has one, into a directory.
 func WriteReport(dir string, re *Result) error {
 	if err := os.MkdirAll(dir, 0o750); err != nil {
 		return err
 	}
-	page := components.NewPage()
-	page.SetPageTitle("banyanspring " + re.Scenario)
-	page.AddCharts(requestsChart(re), latencyChart(re))
-	if re.Baseline != nil {
-		page.AddCharts(requestsChart(re.Baseline), latencyChart(re.Baseline))
-	}
-	path := filepath.Join(dir, fmt.Sprintf("%s-%d.html", re.Scenario, re.Seed))
-	file, err := os.Create(path)
-	if err != nil {
-		return err
+	var sections []section
+	for _, one := range []*Result{re, re.Baseline} {
+		if one == nil {
+			continue
+		}
+		sec, err := newSection(one)
+		if err != nil {
+			return err
+		}
+		sections = append(sections, sec)
 	}
-	if err := page.Render(file); err != nil {
-		_ = file.Close()
+	var out bytes.Buffer
+	if err := page.Execute(&out, sections); err != nil {
 		return err
 	}
-	return file.Close()
+	path := filepath.Join(dir, fmt.Sprintf("%s-%d.html", re.Scenario, re.Seed))
+	return os.WriteFile(path, out.Bytes(), 0o600)
 }
 
-func title(re *Result, what string) charts.GlobalOpts {
-	return charts.WithTitleOpts(opts.Title{
-		Title:    what,
-		Subtitle: fmt.Sprintf("%s, policy %s, seed %d", re.Scenario, re.Policy, re.Seed),
-	})
+func newSection(re *Result) (section, error) {
+	requests, err := requestsPlot(re)
+	if err != nil {
+		return section{}, err
+	}
+	latency, err := latencyPlot(re)
+	return section{Result: re, RequestsPlot: requests, LatencyPlot: latency}, err
 }
 
-func requestsChart(re *Result) *charts.Line {
-	line := charts.NewLine()
-	line.SetGlobalOptions(title(re, "Requests by outcome in each 100 ms"))
-	var times []string
-	for slot := range re.timeline.slots {
-		times = append(times, fmt.Sprintf("%.1f s", float64(slot)*slotLength.Seconds()))
-	}
-	line.SetXAxis(times)
+func requestsPlot(re *Result) (template.HTML, error) {
+	var series []chart.Series
 	for told, name := range outcomeNames {
-		var points []opts.LineData
-		for _, slot := range re.timeline.slots {
-			points = append(points, opts.LineData{Value: slot[told]})
+		line := chart.ContinuousSeries{Name: name}
+		for slot, counts := range re.timeline.slots {
+			line.XValues = append(line.XValues, float64(slot)*slotLength.Seconds())
+			line.YValues = append(line.YValues, float64(counts[told]))
 		}
-		line.AddSeries(name, points)
+		series = append(series, line)
 	}
-	return line
+	plot := chart.Chart{Height: 320, XAxis: chart.XAxis{Name: "seconds"}, Series: series}
+	plot.Elements = []chart.Renderable{chart.LegendThin(&plot)}
+	return render(plot.Render)
 }
 
-func latencyChart(re *Result) *charts.Bar {
-	bar := charts.NewBar()
-	bar.SetGlobalOptions(title(re, "Latency by caller and phase, in ms"))
-	var names []string
-	var p50, p99 []opts.BarData
+func latencyPlot(re *Result) (template.HTML, error) {
+	plot := chart.BarChart{Height: 320, BarWidth: 60, YAxis: chart.YAxis{Range: &chart.ContinuousRange{}}}
 	for _, ca := range re.Callers {
-		names = append(names, fmt.Sprintf("%s/%d", ca.Caller, ca.Phase))
-		p50 = append(p50, opts.BarData{Value: ca.P50Millis})
-		p99 = append(p99, opts.BarData{Value: ca.P99Millis})
+		label := fmt.Sprintf("%s/%d", ca.Caller, ca.Phase)
+		plot.Bars = append(plot.Bars, chart.Value{Label: label, Value: ca.P99Millis})
+		plot.YAxis.Range.SetMax(max(plot.YAxis.Range.GetMax(), ca.P99Millis))
+	}
+	return render(plot.Render)
+}
+
+// render draws a plot as SVG.
+func render(draw func(chart.RendererProvider, io.Writer) error) (template.HTML, error) {
+	var out bytes.Buffer
+	if err := draw(chart.SVG, &out); err != nil {
+		return "", err
 	}
-	bar.SetXAxis(names)
-	bar.AddSeries("p50", p50)
-	bar.AddSeries("p99", p99)
-	return bar
+	return template.HTML(out.String()), nil //nolint:gosec // drawn here from numbers and names of the fleet
 }
