Read a stand-in's term under its lock

Cause: an order to follow that was refused named the term after the lock was given back; the race detector found it in TestPlannedChangeKeepsEverything.

--- a/io/standin/upstr/ship.go
+++ b/io/standin/upstr/ship.go
@@ -303,9 +303,9 @@
 // once it has seen that its log is a prefix of the primary's.
 func (se *Server) Follow(above posn.Term, from string) error {
 	se.mu.Lock()
-	if above.Compare(se.term) <= 0 {
+	if te := se.term; above.Compare(te) <= 0 {
 		se.mu.Unlock()
-		return errors.Newf("term is %d of %s already", se.term.Number, se.term.Primary)
+		return errors.Newf("term is %d of %s already", te.Number, te.Primary)
 	}
 	wasPrimary := se.primary
 	se.primary = false
