Let a soak fail only if a run fails

Cause: make soak ended its test by a signal, so that it printed FAIL each time and hid a run that had failed. Change: one seed after another until the time is over; the first failure stops it with its seed. Before: FAIL after every soak.

--- a/Makefile
+++ b/Makefile
@@ -40,10 +40,14 @@
 SEED ?= 1
 FOR ?= 10m
 .PHONY: soak
-soak: ## run the randomised faults on; SEED=n FOR=10m
-	$(GO) test ./core/promo -run 'TestRandomFaults' -timeout 24h -rapid.seed=$(SEED) -rapid.checks=1000000000 & \
-	pid=$$!; sleep $(FOR); pkill -P $$pid promo.test; wait $$pid; \
-	echo "soak ended after $(FOR) with seed $(SEED)"
+soak: ## run the randomised faults with one seed after another; SEED=n FOR=10m
+	@case "$(FOR)" in *m) seconds=$$(( $(FOR:m=) * 60 ));; *) seconds=$(FOR:s=);; esac; \
+	end=$$(( $$(date +%s) + seconds )); seed=$(SEED); \
+	while [ $$(date +%s) -lt $$end ]; do \
+		echo "seed $$seed"; \
+		$(GO) test ./core/promo -count=1 -run TestRandomFaults -timeout 1h -rapid.seed=$$seed -rapid.checks=20000 || exit 1; \
+		seed=$$(( seed + 1 )); \
+	done
 
 SPIN_FLAGS ?= -DMAXNUM=2 -DMAXLEN=2
 .PHONY: model
