Drop what homes tell and entries never read

Cause: reading the whole change once more: each confirmed write took a lock to name a member that had confirmed it, and no entry used the name; the same for the mark of a replayed request key and the upstream of a held stream.

--- a/io/front/run.go
+++ b/io/front/run.go
@@ -327,7 +327,6 @@
 	}
 	rq.se.held = &heldStream{
 		stream:   st,
-		upstream: mem.Name,
 		status:   status,
 		readOnly: rq.un.isSingle(class.BeginReadOnly),
 	}
--- a/io/front/session.go
+++ b/io/front/session.go
@@ -58,8 +58,7 @@
 
 // heldStream is the stream of an open transaction.
 type heldStream struct {
-	stream   peer.Stream
-	upstream string
+	stream peer.Stream
 	// status is T or E as in ReadyForQuery, or P for an open batch.
 	status byte
 	// readOnly transactions commit nothing.
--- a/io/home/confirm.go
+++ b/io/home/confirm.go
@@ -181,19 +181,6 @@
 	return want, lacks
 }
 
-// confirmedBy names a member other than the primary that holds the position.
-func (cf *confirmer) confirmedBy(at posn.Position) string {
-	gr, _ := cf.up.view()
-	cf.mu.Lock()
-	defer cf.mu.Unlock()
-	for _, mem := range gr.Members {
-		if mem.Name != cf.up.member.Name && cf.tracker.Reported(mem.Name).Covers(at, false) {
-			return mem.Name
-		}
-	}
-	return ""
-}
-
 // confirmFloor returns the primary's position once a majority has said, after
 // this question, that it is in the primary's term. Earlier reports do not count:
 // an isolated old primary has them too.
--- a/io/home/job.go
+++ b/io/home/job.go
@@ -32,8 +32,6 @@
 	failed bool
 	// committed is true if a COMMIT completed within the unit.
 	committed bool
-	// replayed is true if the answer is the first outcome of a request key.
-	replayed bool
 	// complete is false while an extended batch waits for its Sync.
 	complete  bool
 	hasReport bool
--- a/io/home/key.go
+++ b/io/home/key.go
@@ -208,7 +208,7 @@
 		return unitDone{}, jo.abort(err)
 	}
 	event.Log(jo.ru.ma.log, event.RequestKeyReplay, "upstream", jo.ru.up.member.Name, "caller", jo.ru.open.Caller)
-	done := unitDone{replayed: true, committed: true, complete: true, hasReport: true, report: got}
+	done := unitDone{committed: true, complete: true, hasReport: true, report: got}
 	return done, jo.putOutcome(rows[0][0], rows[0][1])
 }
 
--- a/io/home/run.go
+++ b/io/home/run.go
@@ -277,7 +277,7 @@
 	if !done.complete {
 		ru.co.status = statusOpenBatch
 	}
-	end := &wire.UnitEnd{TransactionStatus: uint32(ru.co.status), Replayed: done.replayed}
+	end := &wire.UnitEnd{TransactionStatus: uint32(ru.co.status)}
 	ended := ru.co.status == 'I'
 	if ended {
 		ru.giveBack()
@@ -305,11 +305,7 @@
 	if err := ru.up.confirm.await(context.WithoutCancel(ctx), at, limit); err != nil {
 		return err
 	}
-	if err := ru.up.checkAcknowledged(at); err != nil {
-		return err
-	}
-	end.ConfirmedBy = ru.up.confirm.confirmedBy(at)
-	return nil
+	return ru.up.checkAcknowledged(at)
 }
 
 // setCurrent changes the connection in use; read looks at it concurrently.
