--- a/core/codes/codes.go
+++ b/core/codes/codes.go
@@ -63,6 +63,7 @@
 	PeerUnreached     Code = 408
 	UpstreamLeaving   Code = 409
 	OrderRefused      Code = 410
+	UpstreamReplaced  Code = 411
 
 	OutcomeUnknown  Code = 501
 	Unconfirmed     Code = 502
@@ -70,6 +71,8 @@
 	TransactionLost Code = 504
 	UpstreamSilent  Code = 505
 	KeyOutcomeLarge Code = 506
+	Timeout         Code = 507
+	StatementFailed Code = 508
 
 	InvariantBroken Code = 601
 	Internal        Code = 602
@@ -137,6 +140,7 @@
 	{PeerUnreached, "peer_unreached", "08001", true, true, "the home of the upstream could not be reached"},
 	{UpstreamLeaving, "upstream_leaving", "57P03", true, true, "the upstream is leaving and takes no new work"},
 
+	{UpstreamReplaced, "upstream_replaced", "57P03", true, true, "another upstream stands at the address"},
 	{OrderRefused, "order_refused", "55000", true, true, "the order was not carried out"},
 
 	{OutcomeUnknown, "outcome_unknown", "08007", false, false, "the request may or may not have run"},
@@ -144,6 +148,8 @@
 	{ConnectionLost, "connection_lost", "08006", false, false, "the upstream connection was lost in the middle of the request; its outcome is unknown"},
 	{TransactionLost, "transaction_lost", "40001", true, true, "the transaction's connection was lost before COMMIT; nothing was committed"},
 	{UpstreamSilent, "upstream_silent", "08006", false, false, "the upstream stopped answering in the middle of the request; its outcome is unknown"},
+	{Timeout, "timeout", "57014", false, true, "the upstream gave the statement up after its time"},
+	{StatementFailed, "statement_failed", "58000", false, true, "the upstream ran the statement and failed"},
 	{KeyOutcomeLarge, "key_outcome_large", "54000", false, false, "the request ran, but its first answer was too large to keep; it was not run again"},
 
 	{InvariantBroken, "invariant_broken", "XX000", false, false, "an internal check failed"},
--- a/core/event/event.go
+++ b/core/event/event.go
@@ -29,6 +29,8 @@
 	CancelForwarded  ID = 207
 	SessionPanicked  ID = 208
 	RequestKeyReplay ID = 209
+	RequestRefused   ID = 210
+	TransactionEnded ID = 211
 
 	ConnectionOpened ID = 301
 	ConnectionClosed ID = 302
@@ -46,13 +48,20 @@
 	HandoverDone     ID = 314
 	TermLearned      ID = 315
 
-	PeerUnreached ID = 401
-	PeerLeaving   ID = 403
+	PeerUnreached  ID = 401
+	PeerLeaving    ID = 403
+	MembersChanged ID = 404
+	DutyTaken      ID = 405
+	DutyRefused    ID = 406
 
 	DocumentAdopted  ID = 501
 	DocumentRejected ID = 502
 	PlatformDown     ID = 503
 	PlatformUp       ID = 504
+	ListingRead      ID = 505
+	EntrySkipped     ID = 506
+	SettingsReread   ID = 507
+	UpstreamListed   ID = 508
 
 	InvariantFailed ID = 901
 )
@@ -86,6 +95,9 @@
 	{SessionPanicked, slog.LevelError, "session_panicked", "A session's code panicked; only that session is closed. Report it."},
 	{RequestKeyReplay, slog.LevelInfo, "request_key_replay", "A repeated request key was answered with the first outcome."},
 
+	{RequestRefused, slog.LevelWarn, "request_refused", "A statement was not run; the code and the detail say why."},
+	{TransactionEnded, slog.LevelInfo, "transaction_ended", "An open transaction was rolled back without being asked; the caller is told at its next statement."},
+
 	{ConnectionOpened, slog.LevelDebug, "connection_opened", "A home opened an upstream connection."},
 	{ConnectionClosed, slog.LevelDebug, "connection_closed", "A home closed an upstream connection."},
 	{ConnectionDoubt, slog.LevelWarn, "connection_doubt", "An upstream connection's state is in doubt; it is closed and not reused."},
@@ -105,9 +117,17 @@
 	{PeerUnreached, slog.LevelWarn, "peer_unreached", "Another daemon cannot be reached."},
 	{PeerLeaving, slog.LevelInfo, "peer_leaving", "Another daemon said that it is leaving."},
 
+	{MembersChanged, slog.LevelInfo, "members_changed", "The instances known have changed, and with them the shares of connections."},
+	{DutyTaken, slog.LevelInfo, "duty_taken", "This instance watches over the groups from now on."},
+	{DutyRefused, slog.LevelWarn, "duty_refused", "A newer holder of the duty was known; this instance stops until it has a newer token."},
+
 	{DocumentAdopted, slog.LevelInfo, "document_adopted", "A newer configuration document is in force here."},
 	{DocumentRejected, slog.LevelError, "document_rejected", "A document failed validation and was not adopted; the last one stays in force."},
 	{PlatformDown, slog.LevelWarn, "platform_down", "The platform's store does not answer; the last known state stays in force."},
+	{ListingRead, slog.LevelInfo, "listing_read", "The upstreams were listed anew."},
+	{EntrySkipped, slog.LevelWarn, "entry_skipped", "An entry of the listing names no upstream to use; the others hold."},
+	{SettingsReread, slog.LevelInfo, "settings_reread", "The settings file was read again."},
+	{UpstreamListed, slog.LevelInfo, "upstream_listed", "An upstream is new, gone, or changed its role or state in the listing."},
 	{PlatformUp, slog.LevelInfo, "platform_up", "The platform's store answers again."},
 
 	{InvariantFailed, slog.LevelError, "invariant_failed", "An internal check failed and the request was refused. Report it."},
--- /dev/null
+++ b/core/group/group.go
@@ -0,0 +1,107 @@
+// Package group holds the upstreams of all database groups as the platform
+// lists them. A view is immutable.
+package group
+
+import (
+	"slices"
+)
+
+// Upstream is one member of a database group.
+type Upstream struct {
+	// ID is unique in the platform, but may be born again.
+	ID string
+	// Born tells the lives of one ID apart.
+	Born int64
+	// Group is the database group that it belongs to.
+	Group string
+	// Address serves statements, "ip:port".
+	Address string
+	Domain  string
+	// Slots is how many statements it runs at once.
+	Slots int
+	// Leaving upstreams get no new work.
+	Leaving bool
+	// ClaimsLead is true if it takes itself for the leader.
+	ClaimsLead bool
+	// Revision is that of the listing's entry.
+	Revision uint64
+}
+
+// SameLife reports whether both describe one life of one upstream.
+func (up Upstream) SameLife(other Upstream) bool {
+	return up.ID == other.ID && up.Born == other.Born && up.Address == other.Address && up.Group == other.Group
+}
+
+// View is the listing of all upstreams at one revision.
+type View struct {
+	// Revision is that of the newest change included.
+	Revision uint64
+	byID     map[string]Upstream
+}
+
+// NewView returns a view of the upstreams.
+func NewView(revision uint64, ups []Upstream) View {
+	vi := View{Revision: revision, byID: make(map[string]Upstream, len(ups))}
+	for _, up := range ups {
+		vi.byID[up.ID] = up
+	}
+	return vi
+}
+
+// Change is one change of a listing.
+type Change struct {
+	Upstream Upstream
+	// Gone is true if the entry, named by Upstream.ID, was removed or can no
+	// longer be read.
+	Gone bool
+	// Fault is why the entry could not be read; nil if it was removed.
+	Fault error
+}
+
+// With returns a view with the changes made, at the revision given.
+func (vi View) With(revision uint64, changes []Change) View {
+	next := View{Revision: max(vi.Revision, revision), byID: make(map[string]Upstream, len(vi.byID))}
+	for id, up := range vi.byID {
+		next.byID[id] = up
+	}
+	for _, ch := range changes {
+		if ch.Gone {
+			delete(next.byID, ch.Upstream.ID)
+			continue
+		}
+		next.byID[ch.Upstream.ID] = ch.Upstream
+	}
+	return next
+}
+
+// Members returns the upstreams of a group, by ID.
+func (vi View) Members(group string) []Upstream {
+	var out []Upstream
+	for _, up := range vi.byID {
+		if up.Group == group {
+			out = append(out, up)
+		}
+	}
+	slices.SortFunc(out, func(left, right Upstream) int {
+		if left.ID < right.ID {
+			return -1
+		}
+		return 1
+	})
+	return out
+}
+
+// All returns all upstreams in no order.
+func (vi View) All() []Upstream {
+	out := make([]Upstream, 0, len(vi.byID))
+	for _, up := range vi.byID {
+		out = append(out, up)
+	}
+	return out
+}
+
+// GetUpstreamByID finds an upstream.
+func (vi View) GetUpstreamByID(id string) (Upstream, bool) {
+	up, ok := vi.byID[id]
+	return up, ok
+}
--- /dev/null
+++ b/io/engine/answer.go
@@ -0,0 +1,176 @@
+package engine
+
+import (
+	"time"
+
+	"banyanspring/core/codes"
+	"banyanspring/core/event"
+	"banyanspring/core/posn"
+	"banyanspring/core/stmt"
+	"banyanspring/core/vars"
+)
+
+// answer serves one statement of the caller.
+func (se *session) answer(st stmt.Statement) stmt.Result {
+	switch {
+	case se.state == stmt.Failed:
+		return se.answerFailed(st)
+	case st.Kind == stmt.Set:
+		se.vars = se.vars.WithValue(st.Name, st.Argument)
+		return se.success()
+	case st.Kind == stmt.Prepare:
+		se.vars = se.vars.WithPlan(vars.Plan{Name: st.Name, Writes: st.Writes, Shape: st.Argument})
+		return se.success()
+	case st.Kind == stmt.Deallocate:
+		return se.deallocate(st)
+	case se.state == stmt.Open:
+		return se.answerOpen(st)
+	}
+	return se.answerIdle(st)
+}
+
+func (se *session) deallocate(st stmt.Statement) stmt.Result {
+	next, ok := se.vars.WithoutPlan(st.Name)
+	if !ok {
+		return se.broken(codes.Refuse(codes.UnknownStatement, "%s", st.Name))
+	}
+	se.vars = next
+	return se.success()
+}
+
+// answerFailed serves a statement after the transaction was lost.
+func (se *session) answerFailed(st stmt.Statement) stmt.Result {
+	lost := se.lost
+	se.lost = nil
+	switch {
+	case st.Kind == stmt.Rollback:
+		se.state = stmt.Idle
+		return se.success()
+	case st.Kind == stmt.Commit:
+		se.state = stmt.Idle
+		if lost == nil {
+			lost = codes.Refuse(codes.TransactionLost, "the transaction had failed before")
+		}
+		return se.refusal(lost)
+	case lost != nil:
+		return se.refusal(lost)
+	}
+	return se.refusal(codes.Refuse(codes.TransactionFailed, "end the transaction first"))
+}
+
+// answerIdle serves a statement outside a transaction.
+func (se *session) answerIdle(st stmt.Statement) stmt.Result {
+	if ref := se.findTarget(); ref != nil {
+		return se.refused(st, ref)
+	}
+	switch st.Kind {
+	case stmt.Begin, stmt.BeginRead:
+		se.tx = &transaction{en: se.en, readOnly: st.Kind == stmt.BeginRead}
+		se.state = stmt.Open
+		return se.success()
+	case stmt.Commit, stmt.Rollback:
+		return se.refused(st, codes.Refuse(codes.ProtocolViolation, "no transaction is open"))
+	}
+	rq, ref := se.request(st)
+	if ref != nil {
+		return se.refused(st, ref)
+	}
+	res, ref := se.en.single(rq)
+	if ref != nil {
+		return se.refused(st, ref)
+	}
+	se.noteSeen(res.Position)
+	res.State = stmt.Idle
+	return res
+}
+
+// answerOpen serves a statement inside a transaction.
+func (se *session) answerOpen(st stmt.Statement) stmt.Result {
+	tx := se.tx
+	switch {
+	case st.Kind == stmt.Begin || st.Kind == stmt.BeginRead:
+		return se.broken(codes.Refuse(codes.ProtocolViolation, "a transaction is open already"))
+	case st.Kind == stmt.Rollback:
+		tx.end()
+		se.tx, se.state = nil, stmt.Idle
+		return se.success()
+	}
+	rq, ref := se.request(st)
+	if ref == nil && tx.readOnly && rq.st.IsWrite() {
+		ref = codes.Refuse(codes.NotPrimary, "the transaction only reads")
+	}
+	var res stmt.Result
+	if ref == nil {
+		res, ref = tx.run(rq)
+	}
+	if ref != nil {
+		return se.refusedInside(st, ref)
+	}
+	se.noteSeen(res.Position)
+	if st.Kind == stmt.Commit {
+		se.tx, se.state = nil, stmt.Idle
+	}
+	res.State = se.state
+	return res
+}
+
+// refusedInside answers a statement that ended its transaction.
+func (se *session) refusedInside(st stmt.Statement, ref *codes.Refusal) stmt.Result {
+	tx := se.tx
+	tx.end()
+	se.tx, se.state = nil, stmt.Failed
+	if st.Kind == stmt.Commit {
+		se.state = stmt.Idle
+	}
+	return se.refused(st, ref)
+}
+
+// refused answers a statement that was not served, and logs why.
+func (se *session) refused(st stmt.Statement, ref *codes.Refusal) stmt.Result {
+	id := event.RequestRefused
+	if ref.NotRun() {
+		se.en.Counts.Refused.Add(1)
+	} else {
+		id = event.OutcomeInDoubt
+		se.en.Counts.InDoubt.Add(1)
+	}
+	event.Log(se.en.log, id, "request_id", st.RequestID, "database", se.database, "group", se.target.Group,
+		"kind", st.Kind.String(), "code", int(ref.Code), "name", ref.Code.Info().Name, "detail", ref.Detail,
+		"catalog_version", se.en.catalog.Current().Version)
+	return se.refusal(ref)
+}
+
+func (se *session) noteSeen(po posn.Position) { se.seen = se.seen.Max(po) }
+
+// request is one statement on its way.
+type request struct {
+	session *session
+	st      stmt.Statement
+	// plan is set for the execution of a prepared statement.
+	plan    vars.Plan
+	arrived time.Time
+	// deadline is when the caller is to be told that it was not served.
+	deadline time.Time
+}
+
+// deadlineShare is the part of a statement's timeout after which it is given
+// up, so that the answer arrives in time.
+const deadlineShare = 0.95
+
+// request prepares a statement for its way; the execution of a prepared
+// statement is resolved.
+func (se *session) request(st stmt.Statement) (*request, *codes.Refusal) {
+	now := se.en.seams.Now()
+	limit := time.Duration(float64(se.target.StatementTimeout) * deadlineShare)
+	rq := &request{session: se, st: st, arrived: now, deadline: now.Add(limit)}
+	if st.Kind != stmt.Execute {
+		return rq, nil
+	}
+	pl, ok := se.vars.GetPlanByName(st.Name)
+	if !ok {
+		return nil, codes.Refuse(codes.UnknownStatement, "%s", st.Name)
+	}
+	rq.plan = pl
+	rq.st.Writes = pl.Writes
+	return rq, nil
+}
--- /dev/null
+++ b/io/engine/engine.go
@@ -0,0 +1,230 @@
+package engine
+
+import (
+	"log/slog"
+	"net"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"banyanspring/core/catlg"
+	"banyanspring/core/evid"
+	"banyanspring/core/group"
+	"banyanspring/core/place"
+	"banyanspring/io/pool"
+)
+
+// Settings bounds what the engine does.
+type Settings struct {
+	// Site is where this instance stands.
+	Site place.Site
+	// RegionOf maps failure domains to regions.
+	RegionOf map[string]string
+	// Pool bounds the pools.
+	Pool pool.Settings
+}
+
+// Seams are what the engine needs from outside.
+type Seams struct {
+	Now func() time.Time
+	// Quota returns how many connections this instance may have to an upstream
+	// of the group.
+	Quota func(gr catlg.Group) int
+	Pool  pool.Seams
+}
+
+// Engine serves sessions. It is safe for concurrent use.
+type Engine struct {
+	settings Settings
+	seams    Seams
+	dialect  Dialect
+	catalog  *catlg.Keeper
+	log      *slog.Logger
+
+	mu sync.Mutex
+	// view is the newest listing.
+	view group.View
+	// groups is copied on write, so that requests read it without a lock.
+	groups atomic.Pointer[map[string]*groupState]
+	// upstreams holds the members by ID.
+	upstreams map[string]*upstream
+
+	sessionsMu sync.Mutex
+	sessions   map[*session]struct{}
+	leaving    atomic.Pointer[departure]
+	// Counts are served as metrics.
+	Counts Counts
+}
+
+// Counts are the engine's counters since its start.
+type Counts struct {
+	Sessions, Served, Refused, Retried, InDoubt, Replica, Leader atomic.Int64
+}
+
+// departure holds the deadlines of an instance that leaves.
+type departure struct {
+	// transactions is when open transactions are rolled back.
+	transactions time.Time
+}
+
+// New returns an engine without upstreams.
+func New(se Settings, sm Seams, di Dialect, catalog *catlg.Keeper, lg *slog.Logger) *Engine {
+	en := &Engine{
+		settings:  se,
+		seams:     sm,
+		dialect:   di,
+		catalog:   catalog,
+		log:       lg,
+		upstreams: make(map[string]*upstream),
+		sessions:  make(map[*session]struct{}),
+	}
+	en.groups.Store(&map[string]*groupState{})
+	return en
+}
+
+// SetView makes the listing known. Upstreams that are gone, or that live again
+// under their old ID, lose their connections.
+func (en *Engine) SetView(vi group.View) {
+	en.mu.Lock()
+	defer en.mu.Unlock()
+	en.view = vi
+	members := make(map[string][]*upstream)
+	seen := make(map[string]bool)
+	for _, info := range vi.All() {
+		up := en.upstreams[info.ID]
+		if up != nil && !up.info.Load().SameLife(info) {
+			up.pool.Close()
+			up = nil
+		}
+		if up == nil {
+			up = newUpstream(info, pool.New(info, en.quota(info.Group), en.settings.Pool, en.seams.Pool))
+			en.upstreams[info.ID] = up
+		}
+		up.info.Store(&info)
+		seen[info.ID] = true
+		members[info.Group] = append(members[info.Group], up)
+	}
+	for id, up := range en.upstreams {
+		if !seen[id] {
+			up.pool.Close()
+			delete(en.upstreams, id)
+		}
+	}
+	en.setGroups(members)
+}
+
+// setGroups updates the groups; mu is held.
+func (en *Engine) setGroups(members map[string][]*upstream) {
+	old := *en.groups.Load()
+	next := make(map[string]*groupState, len(old))
+	for name, gr := range old {
+		next[name] = gr
+	}
+	for name := range members {
+		if next[name] == nil {
+			next[name] = newGroupState(name)
+		}
+	}
+	now := en.seams.Now()
+	for name, gr := range next {
+		gr.setMembers(members[name], now)
+	}
+	en.groups.Store(&next)
+}
+
+// quota returns the connections allowed to an upstream of the group.
+func (en *Engine) quota(name string) int {
+	gr, ok := en.catalog.Current().GetGroupByName(name)
+	if !ok {
+		return 0
+	}
+	return en.seams.Quota(gr)
+}
+
+// Maintain applies changed quotas and closes unused connections. It is called
+// every second or so.
+func (en *Engine) Maintain() {
+	en.mu.Lock()
+	ups := make([]*upstream, 0, len(en.upstreams))
+	for _, up := range en.upstreams {
+		ups = append(ups, up)
+	}
+	en.mu.Unlock()
+	for _, up := range ups {
+		up.pool.SetQuota(en.quota(up.info.Load().Group))
+		up.pool.Sweep()
+	}
+}
+
+func (en *Engine) group(name string) *groupState { return (*en.groups.Load())[name] }
+
+// Groups returns the names of all groups known.
+func (en *Engine) Groups() []string {
+	groups := *en.groups.Load()
+	names := make([]string, 0, len(groups))
+	for name := range groups {
+		names = append(names, name)
+	}
+	return names
+}
+
+// Evidence returns the newest evidence of a group's leader, and false if there
+// is none.
+func (en *Engine) Evidence(name string) (evid.Sample, bool) {
+	gr := en.group(name)
+	if gr == nil {
+		return evid.Sample{}, false
+	}
+	return gr.newest()
+}
+
+// AddEvidence takes evidence that a peer gathered; Asked is on this clock.
+func (en *Engine) AddEvidence(name string, sa evid.Sample) {
+	if gr := en.group(name); gr != nil {
+		gr.addSample(sa)
+	}
+}
+
+// Serve runs one caller's session until it ends.
+func (en *Engine) Serve(raw net.Conn) {
+	se := newSession(en, raw)
+	en.sessionsMu.Lock()
+	en.sessions[se] = struct{}{}
+	en.sessionsMu.Unlock()
+	en.Counts.Sessions.Add(1)
+	defer func() {
+		en.Counts.Sessions.Add(-1)
+		en.sessionsMu.Lock()
+		delete(en.sessions, se)
+		en.sessionsMu.Unlock()
+		_ = raw.Close()
+	}()
+	se.run()
+}
+
+// Leave lets requests end, closes sessions between them, and rolls open
+// transactions back at the time given. It returns at once.
+func (en *Engine) Leave(transactions time.Time) {
+	en.leaving.Store(&departure{transactions: transactions})
+	en.sessionsMu.Lock()
+	defer en.sessionsMu.Unlock()
+	for se := range en.sessions {
+		se.interrupt()
+	}
+}
+
+// Sessions returns how many sessions are open.
+func (en *Engine) Sessions() int {
+	en.sessionsMu.Lock()
+	defer en.sessionsMu.Unlock()
+	return len(en.sessions)
+}
+
+// Close gives all upstream connections back.
+func (en *Engine) Close() {
+	en.mu.Lock()
+	defer en.mu.Unlock()
+	for _, up := range en.upstreams {
+		up.pool.Close()
+	}
+}
--- /dev/null
+++ b/io/engine/seek.go
@@ -0,0 +1,88 @@
+package engine
+
+import (
+	"sync"
+	"time"
+
+	"banyanspring/core/codes"
+	"banyanspring/core/stmt"
+)
+
+// probeTimeout bounds the question whether a member leads. The answer takes no
+// slot, so that only the way there and back counts.
+const probeTimeout = 400 * time.Millisecond
+
+// prober is the name under which probes wait for connections.
+const prober = "probe"
+
+// lead is the round of statements that a leader alone answers; it takes no
+// slot and changes nothing.
+var lead = []stmt.Statement{{Kind: stmt.Begin}, {Kind: stmt.Rollback}}
+
+// seek asks all members who leads, without waiting. One question at a time is
+// under way in a group.
+func (en *Engine) seek(gr *groupState) {
+	if !gr.beginSeek() {
+		return
+	}
+	go func() {
+		defer gr.endSeek()
+		var wg sync.WaitGroup
+		for _, up := range gr.all() {
+			wg.Add(1)
+			go func() {
+				defer wg.Done()
+				en.probe(gr, up)
+			}()
+		}
+		wg.Wait()
+	}()
+}
+
+// probe asks a member whether it leads and reports whether it answered.
+func (en *Engine) probe(gr *groupState, up *upstream) bool {
+	deadline := en.seams.Now().Add(probeTimeout)
+	co, err := up.pool.Acquire(prober, 1, deadline)
+	if err != nil {
+		if codes.Is(err, codes.UpstreamUnreached) {
+			up.failed(en.seams.Now())
+		}
+		return false
+	}
+	asked := en.seams.Now()
+	results, err := co.Exchange(lead, deadline)
+	if err != nil {
+		up.pool.Discard(co)
+		up.failed(en.seams.Now())
+		return false
+	}
+	if results[1].State == stmt.Idle {
+		up.pool.Release(co)
+	} else {
+		up.pool.Discard(co)
+	}
+	up.succeeded()
+	if results[0].Code == codes.OK {
+		up.noteApplied(results[0].Position)
+		gr.proved(up, asked, results[0].Position)
+	} else if results[0].Code == codes.NotPrimary {
+		gr.denied(up, asked)
+	}
+	return true
+}
+
+// Sample renews the evidence of all groups that are read. It is called every
+// hundred milliseconds or so and does not wait.
+func (en *Engine) Sample() {
+	now := en.seams.Now()
+	for _, gr := range *en.groups.Load() {
+		up, _ := gr.currentLeader()
+		if up == nil || up.isAvoided(now) || !gr.needsSample(now) || !gr.beginSeek() {
+			continue
+		}
+		go func() {
+			defer gr.endSeek()
+			en.probe(gr, up)
+		}()
+	}
+}
--- /dev/null
+++ b/io/engine/single.go
@@ -0,0 +1,342 @@
+package engine
+
+import (
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"banyanspring/core/catlg"
+	"banyanspring/core/codes"
+	"banyanspring/core/event"
+	"banyanspring/core/stmt"
+	"banyanspring/io/pool"
+)
+
+// single serves a statement outside a transaction. The position of the result
+// is zero if it says nothing of the session's writes.
+func (en *Engine) single(rq *request) (stmt.Result, *codes.Refusal) {
+	gr := en.group(rq.session.target.Group)
+	if gr == nil {
+		return stmt.Result{}, codes.Refuse(codes.NoPrimary, "group %s has no upstreams", rq.session.target.Group)
+	}
+	tr := &try{en: en, gr: gr, rq: rq}
+	if rq.st.IsWrite() {
+		return tr.write()
+	}
+	return tr.read()
+}
+
+// try is the way of one statement through the upstreams of its group.
+type try struct {
+	en *Engine
+	gr *groupState
+	rq *request
+	// attempts counts the attempts by upstream.
+	attempts map[*upstream]int
+	// last is why the newest attempt was not run; nil before the first.
+	last *codes.Refusal
+}
+
+const (
+	// leaderPoll is the pause between two looks for a leader; finding one ends
+	// it early.
+	leaderPoll = 50 * time.Millisecond
+	// busyPause is the first pause before an upstream that had no room is asked
+	// again; it doubles with each further one.
+	busyPause = 10 * time.Millisecond
+	// busyPauseMost bounds the pause.
+	busyPauseMost = 80 * time.Millisecond
+	// maxAttempts bounds the attempts of one statement.
+	maxAttempts = 12
+)
+
+func (tr *try) count(up *upstream) int {
+	if tr.attempts == nil {
+		tr.attempts = make(map[*upstream]int, 2)
+	}
+	tr.attempts[up]++
+	return tr.attempts[up]
+}
+
+func (tr *try) total() int {
+	sum := 0
+	for _, n := range tr.attempts {
+		sum += n
+	}
+	return sum
+}
+
+// retried notes that an attempt was not run and another follows.
+func (tr *try) retried(up *upstream, ref *codes.Refusal) {
+	tr.last = ref
+	tr.en.Counts.Retried.Add(1)
+	event.Log(tr.en.log, event.RequestRetried, "request_id", tr.rq.st.RequestID, "group", tr.gr.name, "upstream", up.id(),
+		"code", int(ref.Code), "detail", ref.Detail, "attempts", tr.total())
+}
+
+// awaitLeader returns the leader, waiting for one until the deadline.
+func (tr *try) awaitLeader() (*upstream, *codes.Refusal) {
+	for {
+		now := tr.en.seams.Now()
+		up, changed := tr.gr.currentLeader()
+		if up != nil && !up.isAvoided(now) {
+			return up, nil
+		}
+		left := tr.rq.deadline.Sub(now)
+		if left <= 0 {
+			return nil, tr.giveUp("no leader was found")
+		}
+		tr.en.seek(tr.gr)
+		timer := time.NewTimer(min(left, leaderPoll))
+		select {
+		case <-changed:
+		case <-timer.C:
+		}
+		timer.Stop()
+	}
+}
+
+// giveUp returns the refusal of a statement that found no upstream.
+func (tr *try) giveUp(detail string) *codes.Refusal {
+	if tr.last != nil {
+		return tr.last
+	}
+	return codes.Refuse(codes.NoPrimary, "%s", detail)
+}
+
+// again reports whether another attempt may follow after the pause that the
+// upstream's refusal asks for.
+func (tr *try) again(up *upstream, ref *codes.Refusal) bool {
+	times := tr.count(up)
+	tr.retried(up, ref)
+	if tr.total() >= maxAttempts {
+		return false
+	}
+	pause := time.Duration(0)
+	switch ref.Code {
+	case codes.QueueFull, codes.ConnectionsInUse:
+		pause = min(busyPause<<(times-1), busyPauseMost)
+	case codes.UpstreamUnreached, codes.UpstreamReplaced:
+		up.failed(tr.en.seams.Now())
+	case codes.DeadlineUnmet:
+		return false
+	}
+	if tr.en.seams.Now().Add(pause).After(tr.rq.deadline) {
+		return false
+	}
+	time.Sleep(pause)
+	return true
+}
+
+// write runs a write outside a transaction at the leader.
+func (tr *try) write() (stmt.Result, *codes.Refusal) {
+	for {
+		up, ref := tr.awaitLeader()
+		if ref != nil {
+			return stmt.Result{}, ref
+		}
+		res, ref := tr.writeAt(up)
+		if ref == nil {
+			tr.en.Counts.Leader.Add(1)
+			return res, nil
+		}
+		if !ref.NotRun() || !tr.again(up, ref) {
+			return stmt.Result{}, ref
+		}
+	}
+}
+
+func (tr *try) writeAt(up *upstream) (stmt.Result, *codes.Refusal) {
+	co, err := tr.acquire(up)
+	if err != nil {
+		return stmt.Result{}, codes.From(err)
+	}
+	ahead, st := prepared(co, tr.rq)
+	sts := append(ahead, st)
+	asked := tr.en.seams.Now()
+	done := up.begin(tr.en.seams.Now)
+	results, err := co.Exchange(sts, tr.rq.deadline)
+	done(err == nil)
+	if err != nil {
+		up.pool.Discard(co)
+		up.failed(tr.en.seams.Now())
+		if errors.Is(err, pool.ErrNotSent) {
+			return stmt.Result{}, codes.Refuse(codes.UpstreamUnreached, "%v", err)
+		}
+		return stmt.Result{}, codes.Refuse(codes.OutcomeUnknown, "%s: %v", up.id(), err)
+	}
+	up.succeeded()
+	res := results[len(results)-1]
+	tr.giveBack(up, co, results[:len(results)-1], res)
+	if res.Code != codes.OK {
+		return stmt.Result{}, tr.refusedAt(up, res)
+	}
+	up.noteApplied(res.Position)
+	tr.gr.proved(up, asked, res.Position)
+	return res, nil
+}
+
+// acquire takes a connection for the statement.
+func (tr *try) acquire(up *upstream) (*pool.Conn, error) {
+	return up.pool.Acquire(tr.rq.session.database, 1, tr.rq.deadline)
+}
+
+// prepared returns the request's statement as the connection knows it, and what
+// has to go before it.
+func prepared(co *pool.Conn, rq *request) (ahead []stmt.Statement, st stmt.Statement) {
+	ahead = co.Vars.Align(rq.session.vars)
+	if rq.st.Kind != stmt.Execute {
+		return ahead, rq.st
+	}
+	st, lacking := co.Vars.Bind(rq.st, rq.plan)
+	return append(ahead, lacking...), st
+}
+
+// giveBack returns a connection after its answers; it is closed if its state is
+// not what it should be.
+func (tr *try) giveBack(up *upstream, co *pool.Conn, ahead []stmt.Result, last stmt.Result) {
+	for _, res := range ahead {
+		if res.Code != codes.OK {
+			up.pool.Discard(co)
+			return
+		}
+	}
+	if last.State != stmt.Idle || last.Code == codes.UnknownStatement {
+		up.pool.Discard(co)
+		return
+	}
+	up.pool.Release(co)
+}
+
+// refusedAt notes what an upstream's refusal says of it.
+func (tr *try) refusedAt(up *upstream, res stmt.Result) *codes.Refusal {
+	now := tr.en.seams.Now()
+	switch res.Code {
+	case codes.NotPrimary:
+		tr.gr.denied(up, now)
+	case codes.Behind:
+		up.noteBehind(now)
+	}
+	return codes.Refuse(res.Code, "%s: %s", up.id(), res.Detail)
+}
+
+// read runs a read outside a transaction wherever the target's consistency
+// allows.
+func (tr *try) read() (stmt.Result, *codes.Refusal) {
+	for {
+		up, floor, ref := tr.pickForRead()
+		if ref != nil {
+			return stmt.Result{}, ref
+		}
+		res, ref := tr.readAt(up, floor)
+		if ref == nil {
+			return res, nil
+		}
+		// A read leaves nothing behind, so that it may run again.
+		if ref.Code == codes.Timeout || !tr.again(up, ref) {
+			return stmt.Result{}, ref
+		}
+	}
+}
+
+// readAt runs the read at an upstream: above a floor at any member, or inside a
+// transaction at the leader, where the upstream itself proves that it leads.
+func (tr *try) readAt(up *upstream, fl floor) (stmt.Result, *codes.Refusal) {
+	co, err := tr.acquire(up)
+	if err != nil {
+		return stmt.Result{}, codes.From(err)
+	}
+	ahead, st := prepared(co, tr.rq)
+	if fl.atLeader {
+		return tr.readInside(up, co, ahead, st)
+	}
+	st.Floor = fl.position
+	results, ref := tr.exchange(up, co, append(ahead, st))
+	if ref != nil {
+		return stmt.Result{}, ref
+	}
+	res := results[len(results)-1]
+	tr.giveBack(up, co, results[:len(results)-1], res)
+	if res.Code != codes.OK {
+		return stmt.Result{}, tr.refusedAt(up, res)
+	}
+	up.noteApplied(res.Position)
+	tr.en.Counts.Replica.Add(1)
+	return res, nil
+}
+
+// exchange runs statements of a read that may run again elsewhere. After a
+// refusal the connection is closed.
+func (tr *try) exchange(up *upstream, co *pool.Conn, sts []stmt.Statement) ([]stmt.Result, *codes.Refusal) {
+	done := up.begin(tr.en.seams.Now)
+	results, err := co.Exchange(sts, tr.readDeadline(tr.en.seams.Now()))
+	done(err == nil)
+	if err != nil {
+		up.pool.Discard(co)
+		up.failed(tr.en.seams.Now())
+		return nil, codes.Refuse(codes.UpstreamUnreached, "%s: %v", up.id(), err)
+	}
+	up.succeeded()
+	return results, nil
+}
+
+// open opens a transaction at an upstream, and waits for the answer: what
+// follows an opening that failed would run outside a transaction. After a
+// refusal the connection is given back or closed.
+func (tr *try) open(up *upstream, co *pool.Conn, ahead []stmt.Statement, begin stmt.Statement) (stmt.Result, *codes.Refusal) {
+	asked := tr.en.seams.Now()
+	results, err := co.Exchange(append(ahead, begin), tr.readDeadline(asked))
+	if err != nil {
+		up.pool.Discard(co)
+		up.failed(tr.en.seams.Now())
+		return stmt.Result{}, codes.Refuse(codes.UpstreamUnreached, "%s: %v", up.id(), err)
+	}
+	up.succeeded()
+	last := len(results) - 1
+	res := results[last]
+	if pool.FirstFailure(results).Code != codes.OK || res.State != stmt.Open {
+		tr.giveBack(up, co, results[:last], res)
+		if res.Code == codes.OK {
+			return res, codes.Refuse(codes.UpstreamUnreached, "%s: %s", up.id(), pool.FirstFailure(results).Detail)
+		}
+		return res, tr.refusedAt(up, res)
+	}
+	up.noteApplied(res.Position)
+	if begin.Kind == stmt.Begin {
+		tr.gr.proved(up, asked, res.Position)
+	}
+	return res, nil
+}
+
+// readInside runs the read in a transaction of its own at the leader.
+func (tr *try) readInside(up *upstream, co *pool.Conn, ahead []stmt.Statement, st stmt.Statement) (stmt.Result, *codes.Refusal) {
+	opened, ref := tr.open(up, co, ahead, stmt.Statement{Kind: stmt.Begin})
+	if ref != nil {
+		return stmt.Result{}, ref
+	}
+	results, ref := tr.exchange(up, co, []stmt.Statement{st, {Kind: stmt.Rollback}})
+	if ref != nil {
+		return stmt.Result{}, ref
+	}
+	res := results[0]
+	tr.giveBack(up, co, nil, results[1])
+	if res.Code != codes.OK {
+		return stmt.Result{}, tr.refusedAt(up, res)
+	}
+	tr.en.Counts.Leader.Add(1)
+	res.Position = opened.Position
+	return res, nil
+}
+
+// readDeadline returns when one attempt of a read is given up: half of the time
+// left, so that another upstream can still answer.
+func (tr *try) readDeadline(now time.Time) time.Time {
+	left := tr.rq.deadline.Sub(now)
+	if len(tr.gr.all()) < 2 || tr.total() > 0 {
+		return tr.rq.deadline
+	}
+	return now.Add(left / 2)
+}
+
+// isStrict reports whether reads must run at the leader.
+func (rq *request) isStrict() bool { return rq.session.target.Consistency == catlg.Strict }
--- /dev/null
+++ b/io/engine/upstream.go
@@ -0,0 +1,108 @@
+package engine
+
+import (
+	"sync/atomic"
+	"time"
+
+	"banyanspring/core/group"
+	"banyanspring/core/posn"
+	"banyanspring/io/pool"
+)
+
+// upstream is one life of one member of a group, with what was seen of it.
+type upstream struct {
+	info atomic.Pointer[group.Upstream]
+	pool *pool.Pool
+	// pending counts statements under way from here.
+	pending atomic.Int32
+	// latency is the smoothed time of a statement in nanoseconds, without the
+	// wait for a connection.
+	latency atomic.Int64
+	// avoidUntil is when a failed upstream is worth another try, in Unix
+	// nanoseconds on the engine's clock.
+	avoidUntil atomic.Int64
+	// failures counts failures in a row.
+	failures atomic.Int32
+	// applied is the highest position seen.
+	applied atomic.Pointer[posn.Position]
+	// behindUntil is when a replica that was behind is worth another try.
+	behindUntil atomic.Int64
+}
+
+const (
+	// latencySmoothing is the share of a new sample: 1/8, as TCP smooths round
+	// trips.
+	latencySmoothing = 8
+	// avoidFor is how long an upstream is avoided after one failure; it doubles
+	// with each further one up to avoidAtMost.
+	avoidFor    = 200 * time.Millisecond
+	avoidAtMost = 2 * time.Second
+	// behindFor is how long a replica that lacked a position is passed over. It
+	// is of the order of common replication delays.
+	behindFor = 60 * time.Millisecond
+)
+
+func newUpstream(info group.Upstream, po *pool.Pool) *upstream {
+	up := &upstream{pool: po}
+	up.info.Store(&info)
+	up.applied.Store(&posn.Position{})
+	return up
+}
+
+func (up *upstream) id() string { return up.info.Load().ID }
+
+// begin notes a statement under way; the function returned notes its end.
+func (up *upstream) begin(now func() time.Time) func(ok bool) {
+	up.pending.Add(1)
+	since := now()
+	return func(ok bool) {
+		up.pending.Add(-1)
+		if !ok {
+			return
+		}
+		took := int64(now().Sub(since))
+		old := up.latency.Load()
+		if old == 0 {
+			up.latency.Store(took)
+			return
+		}
+		up.latency.Store(old + (took-old)/latencySmoothing)
+	}
+}
+
+// succeeded notes an answer.
+func (up *upstream) succeeded() {
+	if up.failures.Load() != 0 {
+		up.failures.Store(0)
+		up.avoidUntil.Store(0)
+	}
+}
+
+// failed notes that the upstream did not answer or failed a statement.
+func (up *upstream) failed(now time.Time) {
+	shift := min(up.failures.Add(1)-1, 8)
+	wait := min(avoidFor<<shift, avoidAtMost)
+	up.avoidUntil.Store(now.Add(wait).UnixNano())
+}
+
+func (up *upstream) isAvoided(now time.Time) bool { return now.UnixNano() < up.avoidUntil.Load() }
+
+// noteApplied notes a position that the upstream reported.
+func (up *upstream) noteApplied(po posn.Position) {
+	for {
+		old := up.applied.Load()
+		if old.Compare(po) >= 0 || up.applied.CompareAndSwap(old, &po) {
+			return
+		}
+	}
+}
+
+func (up *upstream) noteBehind(now time.Time) {
+	up.behindUntil.Store(now.Add(behindFor).UnixNano())
+}
+
+// isBehind reports whether the upstream lacked a position lately and has not
+// been seen at the floor since.
+func (up *upstream) isBehind(floor posn.Position, now time.Time) bool {
+	return now.UnixNano() < up.behindUntil.Load() && up.applied.Load().Compare(floor) < 0
+}
--- a/io/home/gate.go
+++ b/io/gate/gate.go
@@ -1,4 +1,5 @@
-package home
+// Package gate makes goroutines wait for the decisions of a queue.
+package gate
 
 import (
 	"context"
@@ -9,8 +10,9 @@
 	"banyanspring/core/codes"
 )
 
-// gate makes goroutines wait for the decisions of a queue.
-type gate struct {
+// Gate makes goroutines wait for the decisions of a queue. It is safe for
+// concurrent use.
+type Gate struct {
 	now func() time.Time
 
 	mu     sync.Mutex
@@ -20,17 +22,19 @@
 	waiting map[uint64]chan admit.Decision
 }
 
-func newGate(slots, total int, now func() time.Time) *gate {
-	return &gate{
+// New returns a gate with the slots given, at which no more than total items
+// wait.
+func New(slots, total int, now func() time.Time) *Gate {
+	return &Gate{
 		now:     now,
 		queue:   admit.New(admit.Limits{Slots: slots, Total: total}),
 		waiting: make(map[uint64]chan admit.Decision),
 	}
 }
 
-// acquire waits for a slot. The error is a *codes.Refusal. The function
+// Acquire waits for a slot. The error is a *codes.Refusal. The function
 // returned gives the slot back.
-func (ga *gate) acquire(ctx context.Context, it admit.Item) (func(), error) {
+func (ga *Gate) Acquire(ctx context.Context, it admit.Item) (func(), error) {
 	ga.mu.Lock()
 	ga.nextID++
 	it.ID = ga.nextID
@@ -55,7 +59,7 @@
 	return func() { ga.release(it.Caller, since) }, nil
 }
 
-func (ga *gate) wait(ctx context.Context, it admit.Item, ready chan admit.Decision) (admit.Decision, error) {
+func (ga *Gate) wait(ctx context.Context, it admit.Item, ready chan admit.Decision) (admit.Decision, error) {
 	timer := time.NewTimer(it.Deadline.Sub(ga.now()))
 	defer timer.Stop()
 	select {
@@ -74,7 +78,7 @@
 	return <-ready, nil
 }
 
-func (ga *gate) release(caller string, since time.Time) {
+func (ga *Gate) release(caller string, since time.Time) {
 	ga.mu.Lock()
 	defer ga.mu.Unlock()
 	for _, dec := range ga.queue.Release(ga.now(), caller, since) {
@@ -83,9 +87,20 @@
 	}
 }
 
-// load returns how many slots are in use and how many items wait.
-func (ga *gate) load() (running, waiting int) {
+// Load returns how many slots are in use and how many items wait.
+func (ga *Gate) Load() (running, waiting int) {
 	ga.mu.Lock()
 	defer ga.mu.Unlock()
 	return ga.queue.Running(), ga.queue.Waiting()
 }
+
+// SetSlots changes the number of slots; those in use are not revoked.
+func (ga *Gate) SetSlots(slots int) {
+	ga.mu.Lock()
+	defer ga.mu.Unlock()
+	ga.queue.SetSlots(slots)
+	for _, dec := range ga.queue.Expire(ga.now()) {
+		ga.waiting[dec.ID] <- dec
+		delete(ga.waiting, dec.ID)
+	}
+}
--- a/io/home/crossed_test.go
+++ b/io/home/crossed_test.go
@@ -16,6 +16,7 @@
 	"banyanspring/core/codes"
 	"banyanspring/core/conf"
 	"banyanspring/core/posn"
+	"banyanspring/io/gate"
 	"banyanspring/io/store"
 	"banyanspring/io/wire"
 )
@@ -217,16 +218,16 @@
 }
 
 func TestGateGivesUpWithItsContext(t *testing.T) {
-	ga := newGate(1, 10, time.Now)
+	ga := gate.New(1, 10, time.Now)
 	it := (&run{open: &wire.Open{Caller: "c", Weight: 1, QueueLimit: 5}}).item(time.Now().Add(time.Hour))
-	release, err := ga.acquire(t.Context(), it)
+	release, err := ga.Acquire(t.Context(), it)
 	require.NoError(t, err)
 	ctx, cancel := context.WithCancel(t.Context())
 	cancel()
-	_, err = ga.acquire(ctx, it)
+	_, err = ga.Acquire(ctx, it)
 	require.True(t, codes.Is(err, codes.DeadlineUnmet))
 	release()
-	release, err = ga.acquire(t.Context(), it)
+	release, err = ga.Acquire(t.Context(), it)
 	require.NoError(t, err)
 	release()
 }
--- a/io/home/home.go
+++ b/io/home/home.go
@@ -204,8 +204,8 @@
 }
 
 func (up *Upstream) status() Status {
-	conns, _ := up.connections.load()
-	running, waiting := up.slots.load()
+	conns, _ := up.connections.Load()
+	running, waiting := up.slots.Load()
 	up.mu.Lock()
 	idle := len(up.idle)
 	up.mu.Unlock()
--- a/io/home/run.go
+++ b/io/home/run.go
@@ -246,7 +246,7 @@
 	inTransaction := ru.co.status != 'I'
 	item := ru.item(deadline)
 	item.Urgent = inTransaction
-	unlock, err := ru.up.slots.acquire(ctx, item)
+	unlock, err := ru.up.slots.Acquire(ctx, item)
 	if err != nil {
 		ru.giveBack()
 		if inTransaction {
--- a/io/home/upstream.go
+++ b/io/home/upstream.go
@@ -16,6 +16,7 @@
 	"banyanspring/core/posn"
 	"banyanspring/io/batch"
 	"banyanspring/io/delay"
+	"banyanspring/io/gate"
 	"banyanspring/io/store"
 )
 
@@ -33,8 +34,8 @@
 	view func() (store.Group, bool)
 
 	// connections and slots share out the upstream's limits.
-	connections *gate
-	slots       *gate
+	connections *gate.Gate
+	slots       *gate.Gate
 
 	mu sync.Mutex
 	// idle holds connections that nobody uses, the last used at the end.
@@ -92,8 +93,8 @@
 			statements: ma.settings.StatementsPerConnection,
 			dial:       ma.dial,
 		},
-		connections: newGate(max(1, member.Connections/ma.share-controlConnections), ma.settings.QueueTotal, ma.now),
-		slots:       newGate(max(1, member.Slots), ma.settings.QueueTotal, ma.now),
+		connections: gate.New(max(1, member.Connections/ma.share-controlConnections), ma.settings.QueueTotal, ma.now),
+		slots:       gate.New(max(1, member.Slots), ma.settings.QueueTotal, ma.now),
 	}
 	for _, mem := range group.Members {
 		up.members = append(up.members, mem.Name)
@@ -256,7 +257,7 @@
 
 // acquire gets a connection under the caller's share.
 func (up *Upstream) acquire(ctx context.Context, it admit.Item) (*conn, func(), error) {
-	release, err := up.connections.acquire(ctx, it)
+	release, err := up.connections.Acquire(ctx, it)
 	if err != nil {
 		return nil, nil, err
 	}
--- /dev/null
+++ b/io/member/member.go
@@ -0,0 +1,220 @@
+package member
+
+import (
+	"context"
+	"log/slog"
+	"net"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"banyanspring/core/catlg"
+	"banyanspring/core/event"
+	"banyanspring/core/group"
+	"banyanspring/core/life"
+	"banyanspring/core/place"
+	"banyanspring/io/delay"
+	"banyanspring/io/engine"
+	"banyanspring/io/pool"
+)
+
+// Settings is what one member reads at its start.
+type Settings struct {
+	// Name is unique in the fleet.
+	Name string
+	Site place.Site
+	// RegionOf maps failure domains to regions.
+	RegionOf map[string]string
+	// CallerAddress serves callers, "ip:port".
+	CallerAddress string
+	// PeerAddress serves the other members, "ip:port".
+	PeerAddress string
+	// Grace is the time from the order to leave to the forced end.
+	Grace time.Duration
+	// Slow bounds the time that a network path may take to be given up, as the
+	// platform judges it.
+	Slow time.Duration
+}
+
+// Seams are what a member needs from outside.
+type Seams struct {
+	Now     func() time.Time
+	Dial    func(ctx context.Context, address string) (net.Conn, error)
+	Dialect engine.Dialect
+	Codec   pool.Codec
+	Store   Store
+	// Appoint asks the platform to make an upstream the leader of its group.
+	Appoint func(ctx context.Context, ap Appointment) error
+}
+
+// Appointment asks that an upstream lead its group.
+type Appointment struct {
+	Group, Upstream string
+	// Holder names the member that asks, and Token orders the holders.
+	Holder string
+	Token  uint64
+}
+
+// Member is one running instance.
+type Member struct {
+	settings Settings
+	seams    Seams
+	log      *slog.Logger
+	life     *life.Machine
+	catalog  *catlg.Keeper
+	engine   *engine.Engine
+	roster   *roster
+
+	listener net.Listener
+	// isListed is true once the upstreams were listed.
+	isListed atomic.Bool
+
+	mu   sync.Mutex
+	view group.View
+}
+
+// New returns a member that does not run yet.
+func New(se Settings, sm Seams, lg *slog.Logger) *Member {
+	me := &Member{settings: se, seams: sm, log: lg, catalog: catlg.NewKeeper()}
+	me.life = life.New(nil)
+	me.roster = newRoster(me)
+	me.engine = engine.New(
+		engine.Settings{Site: se.Site, RegionOf: se.RegionOf, Pool: poolSettings},
+		engine.Seams{
+			Now:   sm.Now,
+			Quota: me.quota,
+			Pool:  pool.Seams{Now: sm.Now, Dial: sm.Dial, Codec: sm.Codec},
+		},
+		sm.Dialect, me.catalog, lg)
+	return me
+}
+
+// poolSettings bounds the pools.
+var poolSettings = pool.Settings{
+	Waiting:        maxWaiting,
+	ConnectTimeout: connectTimeout,
+	IdleTimeout:    poolIdle,
+	CheckAfter:     checkAfter,
+}
+
+const (
+	// maxWaiting bounds the requests that wait for one upstream; the expected
+	// wait turns requests away long before.
+	maxWaiting = 500
+	// connectTimeout bounds the set-up of a connection: some ten times the
+	// slowest set-up seen.
+	connectTimeout = 600 * time.Millisecond
+	// poolIdle is how long a connection is kept unused; upstreams close idle
+	// ones after a minute.
+	poolIdle = 45 * time.Second
+	// checkAfter is how long a connection may be unused before it is tried out.
+	checkAfter = time.Second
+	// sampleTick is the time between two looks at the evidence.
+	sampleTick = 100 * time.Millisecond
+	// maintainTick is the time between two rounds over the pools.
+	maintainTick = 500 * time.Millisecond
+	// listingPause is kept between two answers of the listing's watch: each
+	// upstream writes every second, and a call costs more than its events.
+	listingPause = 300 * time.Millisecond
+	// watchWait is how long a watch of seldom changes waits.
+	watchWait = 20 * time.Second
+	// callTimeout bounds a call to the store that does not wait.
+	callTimeout = 2 * time.Second
+	// retryPause is kept after a failed call to the store.
+	retryPause = 200 * time.Millisecond
+)
+
+// Start begins to serve; it waits for nothing but its own addresses.
+func (me *Member) Start(ctx context.Context) error {
+	event.Log(me.log, event.DaemonStarting, "name", me.settings.Name, "domain", me.settings.Site.Domain,
+		"region", me.settings.Site.Region, "address", me.settings.CallerAddress)
+	var err error
+	me.listener, err = net.Listen("tcp", me.settings.CallerAddress)
+	if err != nil {
+		return errors.Wrap(err, "listen for callers")
+	}
+	go me.accept()
+	go me.followCatalog(ctx)
+	go me.followListing(ctx)
+	go me.roster.follow(ctx)
+	go me.tick(ctx)
+	return nil
+}
+
+func (me *Member) accept() {
+	for {
+		raw, err := me.listener.Accept()
+		if errors.Is(err, net.ErrClosed) {
+			return
+		}
+		if err != nil {
+			event.Log(me.log, event.PluginFailed, "error", err)
+			time.Sleep(retryPause)
+			continue
+		}
+		go me.engine.Serve(raw)
+	}
+}
+
+// tick does what is due again and again.
+func (me *Member) tick(ctx context.Context) {
+	maintainAt := me.seams.Now()
+	for delay.Pause(ctx, sampleTick) {
+		me.engine.Sample()
+		now := me.seams.Now()
+		if now.Before(maintainAt) {
+			continue
+		}
+		maintainAt = now.Add(maintainTick)
+		me.engine.Maintain()
+	}
+}
+
+// IsReady reports whether callers should be sent here.
+func (me *Member) IsReady() bool {
+	return me.life.State() == life.Serving
+}
+
+// noteReady begins to serve once there is a configuration and a listing.
+func (me *Member) noteReady() {
+	if me.life.State() != life.Starting || !me.isListed.Load() || me.catalog.Current().Version == 0 {
+		return
+	}
+	if err := me.life.Ready(); err == nil {
+		event.Log(me.log, event.DaemonServing, "catalog_version", me.catalog.Current().Version)
+	}
+}
+
+// Shutdown lets callers end their work and returns when the member may exit.
+func (me *Member) Shutdown(ctx context.Context) {
+	if err := me.life.Leave(); err != nil {
+		return
+	}
+	began := me.seams.Now()
+	event.Log(me.log, event.DaemonLeaving, "sessions", me.engine.Sessions())
+	go me.roster.leave(ctx)
+	// Open transactions have the first half of the grace.
+	me.engine.Leave(began.Add(me.settings.Grace / 2))
+	last := began.Add(me.settings.Grace * 3 / 4)
+	for me.seams.Now().Before(last) {
+		if me.engine.Sessions() == 0 && me.seams.Now().Sub(began) > quietBeforeExit {
+			break
+		}
+		time.Sleep(leavePoll)
+	}
+	_ = me.listener.Close()
+	me.engine.Close()
+	_ = me.life.Stop()
+	event.Log(me.log, event.DaemonStopped, "sessions", me.engine.Sessions(), "took", me.seams.Now().Sub(began).String())
+}
+
+const (
+	// quietBeforeExit is how long the member goes on taking sessions that were
+	// already on their way: a balancer looks once a second and needs two
+	// misses.
+	quietBeforeExit = 2500 * time.Millisecond
+	// leavePoll is the pause between two looks for open sessions.
+	leavePoll = 50 * time.Millisecond
+)
--- /dev/null
+++ b/io/member/store.go
@@ -0,0 +1,113 @@
+// Package member runs one instance as a member of a platform that keeps the
+// configuration, the listing of upstreams and the system's own objects in its
+// store.
+package member
+
+import (
+	"context"
+	"encoding/json"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"banyanspring/core/catlg"
+	"banyanspring/core/group"
+)
+
+// Object is one of the system's own objects in the store.
+type Object struct {
+	Name     string
+	Revision uint64
+	Value    json.RawMessage
+}
+
+// Event is one change of the system's own objects.
+type Event struct {
+	Object Object
+	// Gone is true if the object was removed.
+	Gone bool
+}
+
+// Store is the platform's store, as functions that only translate. All may be
+// called at once.
+type Store struct {
+	// LoadCatalog returns the configuration and the revision to wait from.
+	LoadCatalog func(ctx context.Context) (*catlg.Catalog, uint64, error)
+	// AwaitCatalog waits for a newer configuration; it is nil if none came.
+	AwaitCatalog func(ctx context.Context, since uint64, wait time.Duration) (*catlg.Catalog, uint64, error)
+	// ListUpstreams returns the listing, and why entries were left out.
+	ListUpstreams func(ctx context.Context) (group.View, []error, error)
+	// AwaitUpstreams waits for changes of the listing.
+	AwaitUpstreams func(ctx context.Context, since uint64, wait time.Duration) ([]group.Change, uint64, error)
+	// List returns the objects of one of the system's own kinds.
+	List func(ctx context.Context, kind string) ([]Object, uint64, error)
+	// Await waits for changes of the objects of a kind.
+	Await func(ctx context.Context, kind string, since uint64, wait time.Duration) ([]Event, uint64, error)
+	Get   func(ctx context.Context, kind, name string) (Object, error)
+	// Create makes an object that must not exist.
+	Create func(ctx context.Context, kind, name string, value any) (Object, error)
+	// Update replaces an object if it still has the revision.
+	Update func(ctx context.Context, kind, name string, revision uint64, value any) (Object, error)
+	// Delete removes an object if it still has the revision.
+	Delete func(ctx context.Context, kind, name string, revision uint64) error
+	// Calls returns how many calls were made.
+	Calls func() int64
+}
+
+// ErrObjectNotExist is returned for an object that does not exist.
+type ErrObjectNotExist struct{}
+
+// Error implements error.
+func (ErrObjectNotExist) Error() string { return "object does not exist" }
+
+// IsErrObjectNotExist reports whether err says that an object does not exist.
+func IsErrObjectNotExist(err error) bool {
+	var er ErrObjectNotExist
+	return errors.As(err, &er)
+}
+
+// ErrHistoryGone is returned by a wait from a revision that the store no longer
+// remembers; the objects must be read anew.
+type ErrHistoryGone struct{}
+
+// Error implements error.
+func (ErrHistoryGone) Error() string { return "history is gone" }
+
+// IsErrHistoryGone reports whether err says that history is gone.
+func IsErrHistoryGone(err error) bool {
+	var er ErrHistoryGone
+	return errors.As(err, &er)
+}
+
+// ErrConflict is returned by a conditional call that lost a race.
+type ErrConflict struct {
+	// Object is what the store holds.
+	Object Object
+}
+
+// Error implements error.
+func (er ErrConflict) Error() string {
+	return "object " + er.Object.Name + " was changed by another call"
+}
+
+// IsErrConflict reports whether err is a lost race.
+func IsErrConflict(err error) bool {
+	var er ErrConflict
+	return errors.As(err, &er)
+}
+
+// asConflict reports whether err is a lost race and stores it.
+func asConflict(err error, lost *ErrConflict) bool { return errors.As(err, lost) }
+
+// ErrAppointRefused is returned by an appointment whose token is too old or
+// whose upstream does not run.
+type ErrAppointRefused struct{ Detail string }
+
+// Error implements error.
+func (er ErrAppointRefused) Error() string { return "appointment refused: " + er.Detail }
+
+// IsErrAppointRefused reports whether err is a refused appointment.
+func IsErrAppointRefused(err error) bool {
+	var er ErrAppointRefused
+	return errors.As(err, &er)
+}
--- /dev/null
+++ b/io/pool/conn.go
@@ -0,0 +1,168 @@
+package pool
+
+import (
+	"bufio"
+	"net"
+	"syscall"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"golang.org/x/sys/unix"
+
+	"banyanspring/core/codes"
+	"banyanspring/core/stmt"
+	"banyanspring/core/vars"
+)
+
+// Codec translates what is said on upstream connections.
+type Codec struct {
+	// AppendHello encodes the opening of a connection to an upstream of the
+	// group; it must be the one with the ID.
+	AppendHello func(buf []byte, group, id string) []byte
+	// AppendStatement encodes a statement.
+	AppendStatement func(buf []byte, st stmt.Statement) []byte
+	// ReadHello reads the answer to the opening.
+	ReadHello func(rd *bufio.Reader) (stmt.Result, error)
+	// ReadResult reads the whole answer to one statement.
+	ReadResult func(rd *bufio.Reader) (stmt.Result, error)
+	Control
+}
+
+// readerSize is the buffer of a connection, in bytes: most answers fit.
+const readerSize = 2048
+
+// Conn is one upstream connection. It belongs to one goroutine at a time.
+type Conn struct {
+	pool *Pool
+	net  net.Conn
+	rd   *bufio.Reader
+	buf  []byte
+	// Vars is what the connection holds of values and plans.
+	Vars     vars.Conn
+	lastUsed time.Time
+	release  func()
+	// raw is nil for connections that are not TCP.
+	raw syscall.RawConn
+}
+
+func newConn(po *Pool, raw net.Conn) *Conn {
+	co := &Conn{pool: po, net: raw, rd: bufio.NewReaderSize(raw, readerSize)}
+	if sc, ok := raw.(syscall.Conn); ok {
+		if got, err := sc.SyscallConn(); err == nil {
+			co.raw = got
+		}
+	}
+	return co
+}
+
+// Pool returns the pool that the connection belongs to.
+func (co *Conn) Pool() *Pool { return co.pool }
+
+func (co *Conn) hello(deadline time.Time) (stmt.Result, error) {
+	if err := co.setDeadline(deadline); err != nil {
+		return stmt.Result{}, err
+	}
+	up := co.pool.upstream
+	if _, err := co.net.Write(co.pool.seams.AppendHello(nil, up.Group, up.ID)); err != nil {
+		return stmt.Result{}, err
+	}
+	return co.pool.seams.ReadHello(co.rd)
+}
+
+// setDeadline sets the deadline, which is on the pool's clock.
+func (co *Conn) setDeadline(deadline time.Time) error {
+	return co.net.SetDeadline(time.Now().Add(deadline.Sub(co.pool.seams.Now())))
+}
+
+// isAlive tries the connection out.
+func (co *Conn) isAlive(deadline time.Time) bool {
+	limit := co.pool.seams.Now().Add(co.pool.settings.ConnectTimeout)
+	if deadline.Before(limit) {
+		limit = deadline
+	}
+	_, err := co.Exchange(check, limit)
+	return err == nil
+}
+
+// ErrNotSent is returned by Exchange if no statement can have reached the
+// upstream whole.
+var ErrNotSent = errors.New("nothing was sent")
+
+// Exchange sends the statements in one write and reads an answer to each. On an
+// error the connection must be discarded, and the results hold the answers that
+// arrived before.
+func (co *Conn) Exchange(sts []stmt.Statement, deadline time.Time) ([]stmt.Result, error) {
+	co.buf = co.buf[:0]
+	for _, st := range sts {
+		co.buf = co.pool.seams.AppendStatement(co.buf, st)
+	}
+	return co.exchange(len(sts), deadline)
+}
+
+// exchange sends what is in buf and reads count answers.
+func (co *Conn) exchange(count int, deadline time.Time) ([]stmt.Result, error) {
+	if err := co.setDeadline(deadline); err != nil {
+		return nil, errors.Mark(err, ErrNotSent)
+	}
+	if co.isClosedByPeer() {
+		return nil, errors.Mark(errors.New("connection was closed by the upstream"), ErrNotSent)
+	}
+	wrote, err := co.net.Write(co.buf)
+	if err != nil && wrote == 0 {
+		return nil, errors.Mark(err, ErrNotSent)
+	}
+	if err != nil {
+		return nil, err
+	}
+	if cap(co.buf) > maxIdleBuffer {
+		co.buf = nil
+	}
+	results := make([]stmt.Result, 0, count)
+	for range count {
+		res, err := co.pool.seams.ReadResult(co.rd)
+		if err != nil {
+			return results, err
+		}
+		results = append(results, res)
+	}
+	return results, nil
+}
+
+// maxIdleBuffer is the size in bytes up to which a connection keeps its write
+// buffer between statements.
+const maxIdleBuffer = 16 << 10
+
+// isClosedByPeer reports whether the far end has closed the connection, which
+// the first write would not tell.
+func (co *Conn) isClosedByPeer() bool {
+	if co.rd.Buffered() > 0 {
+		// Nothing is outstanding, so that this answers to no statement.
+		return true
+	}
+	if co.raw == nil || co.pool.seams.Now().Sub(co.lastUsed) < peekAfter {
+		return false
+	}
+	closed := false
+	err := co.raw.Read(func(fd uintptr) bool {
+		var one [1]byte
+		n, _, err := unix.Recvfrom(int(fd), one[:], unix.MSG_PEEK|unix.MSG_DONTWAIT)
+		closed = n > 0 || err == nil || (err != unix.EAGAIN && err != unix.EINTR)
+		return true
+	})
+	return closed || err != nil
+}
+
+// peekAfter is how long a connection may have been unused before a look at
+// whether it was closed is worth a system call; closes take a round trip.
+const peekAfter = 20 * time.Millisecond
+
+// FirstFailure returns the first answer that is not a success, and the last
+// one if all are.
+func FirstFailure(results []stmt.Result) stmt.Result {
+	for _, res := range results {
+		if res.Code != codes.OK {
+			return res
+		}
+	}
+	return results[len(results)-1]
+}
--- /dev/null
+++ b/io/pool/pool.go
@@ -0,0 +1,276 @@
+// Package pool keeps the few connections that this instance may have to each
+// upstream, and shares them fairly among its sessions.
+package pool
+
+import (
+	"context"
+	"net"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"golang.org/x/sys/unix"
+
+	"banyanspring/core/admit"
+	"banyanspring/core/codes"
+	"banyanspring/core/group"
+	"banyanspring/core/stmt"
+	"banyanspring/io/gate"
+)
+
+// Settings bounds the pools.
+type Settings struct {
+	// Waiting bounds the requests that wait for one upstream's connections.
+	Waiting int
+	// ConnectTimeout bounds the set-up of one connection.
+	ConnectTimeout time.Duration
+	// IdleTimeout is how long a connection may stay unused.
+	IdleTimeout time.Duration
+	// CheckAfter is how long a connection may have been unused before it is
+	// tried out ahead of a statement that must not be lost in a dead one.
+	CheckAfter time.Duration
+}
+
+// Seams are what the pools need from outside.
+type Seams struct {
+	Now func() time.Time
+	// Dial connects to an address.
+	Dial func(ctx context.Context, address string) (net.Conn, error)
+	Codec
+}
+
+// Pool holds the connections to one life of one upstream. It is safe for
+// concurrent use.
+type Pool struct {
+	upstream group.Upstream
+	settings Settings
+	seams    Seams
+	gate     *gate.Gate
+
+	mu sync.Mutex
+	// idle holds the unused connections, last used last.
+	idle   []*Conn
+	quota  int
+	closed bool
+	// open counts connections, those under way included.
+	open atomic.Int32
+	// opened counts connections made since the start.
+	opened atomic.Int64
+	// nearest is the shortest connect time seen, a bound on the round trip.
+	nearest atomic.Int64
+}
+
+// New returns a pool without connections that may have up to quota of them.
+func New(up group.Upstream, quota int, se Settings, sm Seams) *Pool {
+	return &Pool{
+		upstream: up,
+		settings: se,
+		seams:    sm,
+		quota:    quota,
+		gate:     gate.New(max(quota, 1), se.Waiting, sm.Now),
+	}
+}
+
+// Upstream returns what the pool connects to.
+func (po *Pool) Upstream() group.Upstream { return po.upstream }
+
+// SetQuota changes how many connections the pool may have.
+func (po *Pool) SetQuota(quota int) {
+	po.mu.Lock()
+	if po.quota == quota {
+		po.mu.Unlock()
+		return
+	}
+	po.quota = quota
+	po.mu.Unlock()
+	po.gate.SetSlots(max(quota, 1))
+	po.trim()
+}
+
+// Load returns how many connections are in use and how many requests wait.
+func (po *Pool) Load() (running, waiting int) { return po.gate.Load() }
+
+// Quota returns how many connections the pool may have.
+func (po *Pool) Quota() int {
+	po.mu.Lock()
+	defer po.mu.Unlock()
+	return po.quota
+}
+
+// Opened returns how many connections were made since the start.
+func (po *Pool) Opened() int64 { return po.opened.Load() }
+
+// RoundTrip returns a bound on the round trip to the upstream; zero if unknown.
+func (po *Pool) RoundTrip() time.Duration { return time.Duration(po.nearest.Load()) }
+
+// Acquire returns a connection for the caller alone. It must be given back by
+// Release or by Discard. The error is a *codes.Refusal; nothing was sent.
+func (po *Pool) Acquire(caller string, weight uint32, deadline time.Time) (*Conn, error) {
+	item := admit.Item{Caller: caller, Weight: weight, Limit: po.settings.Waiting, Deadline: deadline}
+	release, err := po.gate.Acquire(context.Background(), item)
+	if err != nil {
+		return nil, err
+	}
+	for {
+		co := po.take()
+		if co == nil {
+			break
+		}
+		co.release = release
+		if po.seams.Now().Sub(co.lastUsed) < po.settings.CheckAfter || co.isAlive(deadline) {
+			return co, nil
+		}
+		po.drop(co)
+	}
+	co, err := po.dial(deadline)
+	if err != nil {
+		release()
+		return nil, err
+	}
+	co.release = release
+	return co, nil
+}
+
+// take returns the idle connection that was used last, or nil.
+func (po *Pool) take() *Conn {
+	po.mu.Lock()
+	defer po.mu.Unlock()
+	last := len(po.idle) - 1
+	if last < 0 {
+		return nil
+	}
+	co := po.idle[last]
+	po.idle = po.idle[:last]
+	return co
+}
+
+// Release gives a connection back that is in no transaction and has no answer
+// outstanding.
+func (po *Pool) Release(co *Conn) {
+	co.lastUsed = po.seams.Now()
+	po.mu.Lock()
+	keep := !po.closed && int(po.open.Load()) <= po.quota
+	if keep {
+		po.idle = append(po.idle, co)
+	}
+	po.mu.Unlock()
+	if !keep {
+		po.drop(co)
+	}
+	co.release()
+}
+
+// Discard closes a connection whose state is not known.
+func (po *Pool) Discard(co *Conn) {
+	po.drop(co)
+	co.release()
+}
+
+func (po *Pool) drop(co *Conn) {
+	_ = co.net.Close()
+	po.open.Add(-1)
+}
+
+// Close closes idle connections; those in use are closed when given back.
+func (po *Pool) Close() {
+	po.mu.Lock()
+	po.closed = true
+	idle := po.idle
+	po.idle = nil
+	po.mu.Unlock()
+	for _, co := range idle {
+		po.drop(co)
+	}
+}
+
+// Sweep closes connections that were unused for too long or are over the quota.
+func (po *Pool) Sweep() {
+	po.trim()
+	oldest := po.seams.Now().Add(-po.settings.IdleTimeout)
+	for {
+		po.mu.Lock()
+		if len(po.idle) == 0 || !po.idle[0].lastUsed.Before(oldest) {
+			po.mu.Unlock()
+			return
+		}
+		co := po.idle[0]
+		po.idle = po.idle[1:]
+		po.mu.Unlock()
+		po.drop(co)
+	}
+}
+
+// trim closes idle connections over the quota, longest unused first.
+func (po *Pool) trim() {
+	for {
+		po.mu.Lock()
+		if len(po.idle) == 0 || int(po.open.Load()) <= po.quota {
+			po.mu.Unlock()
+			return
+		}
+		co := po.idle[0]
+		po.idle = po.idle[1:]
+		po.mu.Unlock()
+		po.drop(co)
+	}
+}
+
+// dial opens a connection and checks that the expected upstream answers.
+func (po *Pool) dial(deadline time.Time) (*Conn, error) {
+	wait := min(deadline.Sub(po.seams.Now()), po.settings.ConnectTimeout)
+	ctx, cancel := context.WithTimeout(context.Background(), wait)
+	defer cancel()
+	asked := po.seams.Now()
+	po.open.Add(1)
+	raw, err := po.seams.Dial(ctx, po.upstream.Address)
+	if err != nil {
+		po.open.Add(-1)
+		return nil, codes.Refuse(codes.UpstreamUnreached, "%v", err)
+	}
+	po.noteRoundTrip(po.seams.Now().Sub(asked))
+	po.opened.Add(1)
+	limitSilence(raw, po.settings.ConnectTimeout)
+	co := newConn(po, raw)
+	res, err := co.hello(asked.Add(wait))
+	if err != nil {
+		po.drop(co)
+		return nil, codes.Refuse(codes.UpstreamUnreached, "%v", err)
+	}
+	if res.Code != codes.OK {
+		po.drop(co)
+		return nil, codes.Refuse(res.Code, "%s", res.Detail)
+	}
+	return co, nil
+}
+
+func (po *Pool) noteRoundTrip(took time.Duration) {
+	for {
+		old := po.nearest.Load()
+		if old != 0 && old <= int64(took) {
+			return
+		}
+		if po.nearest.CompareAndSwap(old, int64(took)) {
+			return
+		}
+	}
+}
+
+// limitSilence makes the kernel give a connection up whose far end no longer
+// answers.
+func limitSilence(raw net.Conn, limit time.Duration) {
+	tcp, ok := raw.(*net.TCPConn)
+	if !ok {
+		return
+	}
+	sc, err := tcp.SyscallConn()
+	if err != nil {
+		return
+	}
+	_ = sc.Control(func(fd uintptr) {
+		_ = unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(limit.Milliseconds()))
+	})
+}
+
+// check is the round of statements that tries a connection out: it takes no
+// slot and changes nothing.
+var check = []stmt.Statement{{Kind: stmt.BeginRead}, {Kind: stmt.Rollback}}
