Replace leaders, and let instances tell each other what they know

Change: members find each other by objects in the store; the revision of a member's own object is its fencing token, so that drawing one takes one write and no two are equal. The member with the lowest token watches the store for all and replaces leaders: it freezes all replicas but the candidate, goes on if the candidate has received as much, then calls. The others take configuration, listing and evidence from it, and ask the store themselves once word of it is not fresh. Ruled out: a counter object for tokens (one conflict for each pair of members at a start); opening a transaction with id - to probe from each member (bytes between regions).

--- a/core/catlg/catlg.go
+++ b/core/catlg/catlg.go
@@ -24,28 +24,28 @@
 // Target is what stands behind one database name.
 type Target struct {
 	// Database is the name that callers use; unique in a catalog.
-	Database string
+	Database string `json:"database"`
 	// Group is the database group that serves it.
-	Group       string
-	Consistency Consistency
+	Group       string      `json:"group"`
+	Consistency Consistency `json:"consistency"`
 	// MaxAge bounds the age of reads that are not Strict.
-	MaxAge time.Duration
+	MaxAge time.Duration `json:"max_age"`
 	// StatementTimeout bounds one statement, waits included.
-	StatementTimeout time.Duration
+	StatementTimeout time.Duration `json:"statement_timeout"`
 	// Objective is the latency that callers hope for.
-	Objective time.Duration
+	Objective time.Duration `json:"objective"`
 	// Priority orders targets under load; 0 goes first.
-	Priority int
+	Priority int `json:"priority"`
 }
 
 // Group is what the catalog says of a database group.
 type Group struct {
-	Name string
+	Name string `json:"name"`
 	// Connections bounds the connections of all callers to one upstream.
-	Connections int
+	Connections int `json:"connections"`
 	// SyncReplicas is how many replicas receive a write before it is
 	// acknowledged.
-	SyncReplicas int
+	SyncReplicas int `json:"sync_replicas"`
 }
 
 // Catalog is one version of the configuration.
@@ -76,6 +76,28 @@
 	return ca
 }
 
+// Document is a catalog as instances hand it to each other.
+type Document struct {
+	Version         uint64        `json:"version"`
+	TransactionIdle time.Duration `json:"transaction_idle"`
+	Targets         []Target      `json:"targets"`
+	Groups          []Group       `json:"groups"`
+}
+
+// Document returns the catalog for another instance.
+func (ca *Catalog) Document() Document {
+	doc := Document{Version: ca.Version, TransactionIdle: ca.TransactionIdle, Groups: ca.Groups()}
+	for _, ta := range ca.targets {
+		doc.Targets = append(doc.Targets, ta)
+	}
+	return doc
+}
+
+// FromDocument returns the catalog that another instance handed over.
+func FromDocument(doc Document) *Catalog {
+	return New(doc.Version, doc.TransactionIdle, doc.Targets, doc.Groups)
+}
+
 // GetTargetByDatabase finds what stands behind a database name.
 func (ca *Catalog) GetTargetByDatabase(name string) (Target, bool) {
 	ta, ok := ca.targets[name]
--- /dev/null
+++ b/core/elect/elect_test.go
@@ -0,0 +1,90 @@
+package elect
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"banyanspring/core/posn"
+)
+
+var (
+	start  = time.Date(2026, 3, 1, 8, 0, 0, 0, time.UTC)
+	timing = Timing{
+		Silence: 600 * time.Millisecond,
+		Refusal: 200 * time.Millisecond,
+		Partial: 700 * time.Millisecond,
+		Fresh:   time.Second,
+		Spacing: 5 * time.Second,
+	}
+)
+
+func after(span time.Duration) time.Time { return start.Add(span) }
+
+func at(term, offset uint64) posn.Position {
+	return posn.Position{Term: posn.Term{Number: term}, Offset: offset}
+}
+
+func TestSilentLeaderIsDeadUnlessAnotherInstanceHeardIt(t *testing.T) {
+	ev := Evidence{IsListed: true, HeardAt: start}
+	require.Equal(t, None, Judge(ev, "a", timing, after(600*time.Millisecond)))
+	require.Equal(t, Dead, Judge(ev, "a", timing, after(601*time.Millisecond)))
+	ev.Opinions = []Opinion{{Leader: "a", At: after(500 * time.Millisecond), ProvenAt: after(400 * time.Millisecond)}}
+	require.Equal(t, None, Judge(ev, "a", timing, after(900*time.Millisecond)))
+}
+
+func TestRefusedConnectionsShortenThePatience(t *testing.T) {
+	ev := Evidence{IsListed: true, HeardAt: start, Refused: true}
+	require.Equal(t, Dead, Judge(ev, "a", timing, after(201*time.Millisecond)))
+}
+
+func TestLeaderThatAQuarterMissesIsMovedOnceInAWhile(t *testing.T) {
+	now := after(2 * time.Second)
+	reaches := Opinion{Leader: "a", At: now, ProvenAt: now}
+	misses := Opinion{Leader: "a", At: now, UnreachedSince: start}
+	ev := Evidence{IsListed: true, HeardAt: now, Opinions: []Opinion{reaches, reaches, reaches, misses}}
+	require.Equal(t, Unreached, Judge(ev, "a", timing, now))
+	ev.ChangedAt = after(-time.Second)
+	require.Equal(t, None, Judge(ev, "a", timing, now))
+	ev.ChangedAt = time.Time{}
+	ev.Opinions = append(ev.Opinions, reaches)
+	require.Equal(t, None, Judge(ev, "a", timing, now))
+}
+
+func TestLeaderThatAcknowledgesNothingIsMoved(t *testing.T) {
+	ev := Evidence{IsListed: true, HeardAt: start, Opinions: []Opinion{{Leader: "a", At: start, StalledWrites: 2}}}
+	require.Equal(t, Stalled, Judge(ev, "a", timing, start))
+	require.Equal(t, None, Judge(ev, "b", timing, start))
+}
+
+func TestOldOpinionsCountForNothing(t *testing.T) {
+	now := after(3 * time.Second)
+	ev := Evidence{IsListed: true, HeardAt: now, Opinions: []Opinion{{Leader: "a", At: start, UnreachedSince: start, StalledWrites: 5}}}
+	require.Equal(t, None, Judge(ev, "a", timing, now))
+}
+
+func TestMostAdvancedStayingReplicaIsChosen(t *testing.T) {
+	reps := []Replica{
+		{ID: "leaving", Answered: true, Listed: true, Leaving: true, Received: at(1, 30)},
+		{ID: "far", Answered: true, Listed: true, Received: at(1, 20)},
+		{ID: "near", Answered: true, Listed: true, Received: at(1, 20), Preferred: 1},
+		{ID: "silent", Listed: true, Received: at(1, 40)},
+	}
+	got, ok := Choose(reps)
+	require.True(t, ok)
+	require.Equal(t, "near", got.ID)
+	_, ok = Choose(reps[:1])
+	require.False(t, ok)
+}
+
+func TestChangeWaitsForWhatMayBeAcknowledged(t *testing.T) {
+	candidate := Replica{ID: "c", Answered: true, Listed: true, Received: at(1, 20), Term: 1}
+	frozen := func(rep Replica) []Replica { return []Replica{candidate, rep} }
+	require.Equal(t, Clear, Check(candidate, frozen(Replica{ID: "d", Answered: true, Listed: true, Received: at(1, 20), Term: 1}), 1))
+	require.Equal(t, Behind, Check(candidate, frozen(Replica{ID: "d", Answered: true, Listed: true, Received: at(1, 21), Term: 1}), 1))
+	require.Equal(t, Behind, Check(candidate, frozen(Replica{ID: "d", Answered: true, Leaving: true, Listed: true, Received: at(1, 21)}), 1))
+	require.Equal(t, Unasked, Check(candidate, frozen(Replica{ID: "d", Listed: true}), 1))
+	require.Equal(t, Clear, Check(candidate, frozen(Replica{ID: "d"}), 1))
+	require.Equal(t, Moved, Check(candidate, frozen(Replica{ID: "d", Answered: true, Listed: true, Term: 2}), 1))
+}
--- a/core/event/event.go
+++ b/core/event/event.go
@@ -53,6 +53,7 @@
 	MembersChanged ID = 404
 	DutyTaken      ID = 405
 	DutyRefused    ID = 406
+	DutyLeft       ID = 407
 
 	DocumentAdopted  ID = 501
 	DocumentRejected ID = 502
@@ -119,6 +120,7 @@
 
 	{MembersChanged, slog.LevelInfo, "members_changed", "The instances known have changed, and with them the shares of connections."},
 	{DutyTaken, slog.LevelInfo, "duty_taken", "This instance watches over the groups from now on."},
+	{DutyLeft, slog.LevelInfo, "duty_left", "Another instance holds the duty from now on."},
 	{DutyRefused, slog.LevelWarn, "duty_refused", "A newer holder of the duty was known; this instance stops until it has a newer token."},
 
 	{DocumentAdopted, slog.LevelInfo, "document_adopted", "A newer configuration document is in force here."},
--- a/core/group/group.go
+++ b/core/group/group.go
@@ -9,22 +9,22 @@
 // Upstream is one member of a database group.
 type Upstream struct {
 	// ID is unique in the platform, but may be born again.
-	ID string
+	ID string `json:"id"`
 	// Born tells the lives of one ID apart.
-	Born int64
+	Born int64 `json:"born"`
 	// Group is the database group that it belongs to.
-	Group string
+	Group string `json:"group"`
 	// Address serves statements, "ip:port".
-	Address string
-	Domain  string
+	Address string `json:"address"`
+	Domain  string `json:"domain"`
 	// Slots is how many statements it runs at once.
-	Slots int
+	Slots int `json:"slots"`
 	// Leaving upstreams get no new work.
-	Leaving bool
+	Leaving bool `json:"leaving"`
 	// ClaimsLead is true if it takes itself for the leader.
-	ClaimsLead bool
+	ClaimsLead bool `json:"claims_lead"`
 	// Revision is that of the listing's entry.
-	Revision uint64
+	Revision uint64 `json:"revision"`
 }
 
 // SameLife reports whether both describe one life of one upstream.
--- a/io/engine/engine.go
+++ b/io/engine/engine.go
@@ -168,14 +168,30 @@
 	return names
 }
 
-// Evidence returns the newest evidence of a group's leader, and false if there
-// is none.
-func (en *Engine) Evidence(name string) (evid.Sample, bool) {
-	gr := en.group(name)
-	if gr == nil {
-		return evid.Sample{}, false
+// Opinion is what the engine knows of a group's leader.
+type Opinion struct {
+	Group string
+	// Leader is empty if none is known.
+	Leader string
+	// Sample is the newest evidence; its time is zero if there is none.
+	Sample evid.Sample
+	// ProvenAt is when Leader last proved that it leads; zero if never.
+	ProvenAt time.Time
+	// UnreachedSince is since when Leader is not reached; zero if it is.
+	UnreachedSince time.Time
+	// StalledWrites counts writes that Leader lately did not answer.
+	StalledWrites int
+}
+
+// Opinions returns what is known of all groups' leaders.
+func (en *Engine) Opinions() []Opinion {
+	now := en.seams.Now()
+	groups := *en.groups.Load()
+	out := make([]Opinion, 0, len(groups))
+	for _, gr := range groups {
+		out = append(out, gr.opinion(now))
 	}
-	return gr.newest()
+	return out
 }
 
 // AddEvidence takes evidence that a peer gathered; Asked is on this clock.
@@ -185,6 +201,14 @@
 	}
 }
 
+// NoteLeader takes a peer's word that an upstream proved to lead at the time
+// given, on this clock.
+func (en *Engine) NoteLeader(name, id string, provenAt time.Time) {
+	if gr := en.group(name); gr != nil {
+		gr.heardOf(id, provenAt)
+	}
+}
+
 // Serve runs one caller's session until it ends.
 func (en *Engine) Serve(raw net.Conn) {
 	se := newSession(en, raw)
--- a/io/engine/group.go
+++ b/io/engine/group.go
@@ -163,11 +163,39 @@
 	gr.track.Add(sa)
 }
 
-// newest returns the newest evidence.
-func (gr *groupState) newest() (evid.Sample, bool) {
+// heardOf takes a peer's proof that a member leads.
+func (gr *groupState) heardOf(id string, provenAt time.Time) {
 	gr.mu.Lock()
 	defer gr.mu.Unlock()
-	return gr.track.Newest()
+	cl, ok := gr.claims[id]
+	if !ok || !provenAt.After(cl.provenAt) {
+		return
+	}
+	cl.provenAt = provenAt
+	gr.claims[id] = cl
+	old := gr.leader
+	gr.leader = gr.judge()
+	if gr.leader != old {
+		gr.wake()
+	}
+}
+
+// opinion returns what is known of the leader.
+func (gr *groupState) opinion(now time.Time) Opinion {
+	gr.mu.Lock()
+	defer gr.mu.Unlock()
+	op := Opinion{Group: gr.name}
+	op.Sample, _ = gr.track.Newest()
+	if gr.leader == nil {
+		return op
+	}
+	op.Leader = gr.leader.id()
+	op.ProvenAt = gr.claims[op.Leader].provenAt
+	op.StalledWrites = gr.leader.stalledLately(now)
+	if since := gr.leader.unreachedSince.Load(); since != 0 {
+		op.UnreachedSince = time.Unix(0, since)
+	}
+	return op
 }
 
 // needsSample reports whether reads of late will want newer evidence.
--- a/io/engine/single.go
+++ b/io/engine/single.go
@@ -1,6 +1,7 @@
 package engine
 
 import (
+	"os"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -163,6 +164,9 @@
 		if errors.Is(err, pool.ErrNotSent) {
 			return stmt.Result{}, codes.Refuse(codes.UpstreamUnreached, "%v", err)
 		}
+		if errors.Is(err, os.ErrDeadlineExceeded) {
+			up.stalled(tr.en.seams.Now())
+		}
 		return stmt.Result{}, codes.Refuse(codes.OutcomeUnknown, "%s: %v", up.id(), err)
 	}
 	up.succeeded()
--- a/io/engine/trans.go
+++ b/io/engine/trans.go
@@ -1,8 +1,11 @@
 package engine
 
 import (
+	"os"
 	"time"
 
+	"github.com/cockroachdb/errors"
+
 	"banyanspring/core/codes"
 	"banyanspring/core/stmt"
 	"banyanspring/io/pool"
@@ -135,6 +138,9 @@
 			tx.up.pool.Discard(tx.conn)
 			tx.conn = nil
 			if rq.st.Kind == stmt.Commit && wroteBefore {
+				if errors.Is(err, os.ErrDeadlineExceeded) {
+					tx.up.stalled(tx.en.seams.Now())
+				}
 				return stmt.Result{}, codes.Refuse(codes.OutcomeUnknown, "%s: %v", tx.up.id(), err)
 			}
 			return stmt.Result{}, codes.Refuse(codes.TransactionLost, "%s: %v", tx.up.id(), err)
--- a/io/engine/upstream.go
+++ b/io/engine/upstream.go
@@ -23,6 +23,11 @@
 	avoidUntil atomic.Int64
 	// failures counts failures in a row.
 	failures atomic.Int32
+	// unreachedSince is when the first failure in a row was, in Unix
+	// nanoseconds; 0 if it was reached last.
+	unreachedSince atomic.Int64
+	// stalls holds when the last writes went unanswered, in Unix nanoseconds.
+	stalls [maxStalls]atomic.Int64
 	// applied is the highest position seen.
 	applied atomic.Pointer[posn.Position]
 	// behindUntil is when a replica that was behind is worth another try.
@@ -40,6 +45,10 @@
 	// behindFor is how long a replica that lacked a position is passed over. It
 	// is of the order of common replication delays.
 	behindFor = 60 * time.Millisecond
+	// maxStalls is how many unanswered writes are remembered.
+	maxStalls = 4
+	// stallMemory is for how long; statements time out within a second or so.
+	stallMemory = 2 * time.Second
 )
 
 func newUpstream(info group.Upstream, po *pool.Pool) *upstream {
@@ -74,12 +83,14 @@
 func (up *upstream) succeeded() {
 	if up.failures.Load() != 0 {
 		up.failures.Store(0)
+		up.unreachedSince.Store(0)
 		up.avoidUntil.Store(0)
 	}
 }
 
 // failed notes that the upstream did not answer or failed a statement.
 func (up *upstream) failed(now time.Time) {
+	up.unreachedSince.CompareAndSwap(0, now.UnixNano())
 	shift := min(up.failures.Add(1)-1, 8)
 	wait := min(avoidFor<<shift, avoidAtMost)
 	up.avoidUntil.Store(now.Add(wait).UnixNano())
@@ -87,6 +98,27 @@
 
 func (up *upstream) isAvoided(now time.Time) bool { return now.UnixNano() < up.avoidUntil.Load() }
 
+// stalled notes a write that went unanswered.
+func (up *upstream) stalled(now time.Time) {
+	for pos := range up.stalls {
+		old := up.stalls[pos].Load()
+		if now.UnixNano()-old > int64(stallMemory) && up.stalls[pos].CompareAndSwap(old, now.UnixNano()) {
+			return
+		}
+	}
+}
+
+// stalledLately returns how many writes went unanswered of late.
+func (up *upstream) stalledLately(now time.Time) int {
+	count := 0
+	for pos := range up.stalls {
+		if now.UnixNano()-up.stalls[pos].Load() <= int64(stallMemory) {
+			count++
+		}
+	}
+	return count
+}
+
 // noteApplied notes a position that the upstream reported.
 func (up *upstream) noteApplied(po posn.Position) {
 	for {
--- /dev/null
+++ b/io/member/change.go
@@ -0,0 +1,248 @@
+package member
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"banyanspring/core/elect"
+	"banyanspring/core/event"
+	"banyanspring/core/group"
+	"banyanspring/io/delay"
+	"banyanspring/io/pool"
+)
+
+// errNoCandidate is returned if no replica can be promoted.
+var errNoCandidate = errors.New("no replica can be promoted")
+
+// change replaces the group's leader; see core/elect for the order of it.
+func (gu *guard) change(ctx context.Context, reason elect.Reason) {
+	began := gu.me.seams.Now()
+	candidate, err := gu.carryOut(ctx, reason)
+	now := gu.me.seams.Now()
+	gu.mu.Lock()
+	defer gu.mu.Unlock()
+	gu.isChanging = false
+	if err != nil {
+		gu.retryAt = now.Add(changeRetry)
+		event.Log(gu.me.log, event.PromotionFailed, "group", gu.name, "candidate", candidate, "reason", string(reason),
+			"error", err.Error(), "took", now.Sub(began).String())
+		return
+	}
+	gu.leader, gu.watchedSince, gu.heardAt, gu.refused = candidate, now, now, false
+	gu.changedAt = now
+	event.Log(gu.me.log, event.HandoverDone, "group", gu.name, "upstream", candidate, "reason", string(reason),
+		"took", now.Sub(began).String())
+}
+
+// carryOut freezes the replicas but the candidate, makes sure that the
+// candidate has all, and appoints it.
+func (gu *guard) carryOut(ctx context.Context, reason elect.Reason) (string, error) {
+	token, ok := gu.me.roster.Token()
+	if !ok {
+		return "", errors.New("no token")
+	}
+	gu.me.mu.Lock()
+	vi := gu.me.view
+	gu.me.mu.Unlock()
+	gu.mu.Lock()
+	leader := gu.leader
+	gu.mu.Unlock()
+	replicas := others(vi.Members(gu.name), leader)
+	surveyed := gu.each(replicas, func(co *pool.Conn, deadline time.Time) (pool.Report, error) { return co.Status(deadline) })
+	candidate, ok := elect.Choose(gu.states(replicas, surveyed))
+	if !ok {
+		return "", errNoCandidate
+	}
+	term := highestTerm(surveyed)
+	frozen := others(replicas, candidate.ID)
+	reports := gu.each(frozen, func(co *pool.Conn, deadline time.Time) (pool.Report, error) {
+		return co.Freeze(term+1, deadline)
+	})
+	if err := gu.confirm(ctx, vi, candidate, gu.states(frozen, reports), term); err != nil {
+		gu.thaw(frozen)
+		return candidate.ID, err
+	}
+	event.Log(gu.me.log, event.PromotionBegun, "group", gu.name, "candidate", candidate.ID, "reason", string(reason),
+		"term", term+1, "token", token, "old", leader)
+	if err := gu.appoint(ctx, vi, candidate.ID, token); err != nil {
+		gu.thaw(frozen)
+		return candidate.ID, err
+	}
+	return candidate.ID, nil
+}
+
+func others(members []group.Upstream, id string) []group.Upstream {
+	out := make([]group.Upstream, 0, len(members))
+	for _, up := range members {
+		if up.ID != id {
+			out = append(out, up)
+		}
+	}
+	return out
+}
+
+// answer is an upstream's report, if it gave one.
+type answer struct {
+	report pool.Report
+	err    error
+}
+
+// each runs an order at all upstreams at once.
+func (gu *guard) each(ups []group.Upstream, order func(co *pool.Conn, deadline time.Time) (pool.Report, error)) map[string]answer {
+	out := make(map[string]answer, len(ups))
+	var mu sync.Mutex
+	var wg sync.WaitGroup
+	for _, up := range ups {
+		wg.Add(1)
+		go func() {
+			defer wg.Done()
+			an := gu.one(up, order)
+			mu.Lock()
+			defer mu.Unlock()
+			out[up.ID] = an
+		}()
+	}
+	wg.Wait()
+	return out
+}
+
+func (gu *guard) one(up group.Upstream, order func(co *pool.Conn, deadline time.Time) (pool.Report, error)) answer {
+	var an answer
+	deadline := gu.me.seams.Now().Add(orderWait)
+	an.err = gu.with(up, deadline, func(co *pool.Conn) error {
+		var err error
+		an.report, err = order(co, deadline)
+		return err
+	})
+	return an
+}
+
+// states returns what is known of replicas after they were asked.
+func (gu *guard) states(ups []group.Upstream, answers map[string]answer) []elect.Replica {
+	out := make([]elect.Replica, 0, len(ups))
+	for _, up := range ups {
+		an := answers[up.ID]
+		preferred := 0
+		if up.Domain == gu.me.settings.Site.Domain {
+			preferred = 1
+		}
+		out = append(out, elect.Replica{
+			ID: up.ID, Answered: an.err == nil, Leaving: up.Leaving, Listed: true,
+			Received: an.report.Received, Term: an.report.Term, Preferred: preferred,
+		})
+	}
+	return out
+}
+
+func highestTerm(answers map[string]answer) uint64 {
+	var term uint64
+	for _, an := range answers {
+		term = max(term, an.report.Term)
+	}
+	return term
+}
+
+// confirm waits until the candidate has all that the frozen replicas have.
+func (gu *guard) confirm(ctx context.Context, vi group.View, candidate elect.Replica, frozen []elect.Replica, term uint64) error {
+	up, _ := vi.GetUpstreamByID(candidate.ID)
+	status := func(co *pool.Conn, deadline time.Time) (pool.Report, error) { return co.Status(deadline) }
+	obstacle := elect.Clear
+	for range catchUpTries {
+		an := gu.one(up, status)
+		if an.err != nil {
+			return errors.Wrap(an.err, "candidate")
+		}
+		gu.relist(frozen)
+		candidate.Received, candidate.Term = an.report.Received, an.report.Term
+		obstacle = elect.Check(candidate, frozen, term)
+		if obstacle != elect.Behind {
+			break
+		}
+		if !delay.Pause(ctx, catchUpPause) {
+			return ctx.Err()
+		}
+	}
+	if obstacle != elect.Clear {
+		return errors.Newf("%s", string(obstacle))
+	}
+	return gu.noStranger(candidate.ID, frozen)
+}
+
+// relist notes which of the replicas have left the listing meanwhile.
+func (gu *guard) relist(frozen []elect.Replica) {
+	gu.me.mu.Lock()
+	vi := gu.me.view
+	gu.me.mu.Unlock()
+	for pos := range frozen {
+		_, frozen[pos].Listed = vi.GetUpstreamByID(frozen[pos].ID)
+	}
+}
+
+// noStranger makes sure that no member joined since the replicas were frozen:
+// the leader could acknowledge what it alone receives.
+func (gu *guard) noStranger(candidate string, frozen []elect.Replica) error {
+	gu.me.mu.Lock()
+	vi := gu.me.view
+	gu.me.mu.Unlock()
+	gu.mu.Lock()
+	leader := gu.leader
+	gu.mu.Unlock()
+	for _, up := range vi.Members(gu.name) {
+		isKnown := up.ID == candidate || up.ID == leader
+		for _, re := range frozen {
+			isKnown = isKnown || re.ID == up.ID
+		}
+		if !isKnown {
+			return errors.Newf("upstream %s joined meanwhile", up.ID)
+		}
+	}
+	return nil
+}
+
+// thaw lets frozen replicas receive again after a change that did not go on.
+func (gu *guard) thaw(frozen []group.Upstream) {
+	gu.each(frozen, func(co *pool.Conn, deadline time.Time) (pool.Report, error) { return co.Unfreeze(deadline) })
+}
+
+// appoint calls the candidate to lead and waits until it does. A call without
+// an answer may still be carried out, so that it is followed up too.
+func (gu *guard) appoint(ctx context.Context, vi group.View, id string, token uint64) error {
+	up, _ := vi.GetUpstreamByID(id)
+	until := gu.me.seams.Now().Add(leadWait)
+	var lastErr error
+	isCalled := false
+	for gu.me.seams.Now().Before(until) {
+		if !isCalled {
+			lastErr = gu.call(ctx, id, token)
+			isCalled = lastErr == nil
+			if IsErrAppointRefused(lastErr) {
+				event.Log(gu.me.log, event.DutyRefused, "group", gu.name, "candidate", id, "token", token, "error", lastErr.Error())
+				gu.me.roster.draw(token)
+				return lastErr
+			}
+		}
+		now := gu.me.seams.Now()
+		if leads, err := gu.leads(up, now.Add(guardAsk)); err == nil && leads {
+			gu.me.engine.NoteLeader(gu.name, id, now)
+			return nil
+		}
+		if !delay.Pause(ctx, leadPoll) {
+			return ctx.Err()
+		}
+	}
+	if lastErr == nil {
+		lastErr = errors.New("the candidate does not lead")
+	}
+	return lastErr
+}
+
+func (gu *guard) call(ctx context.Context, id string, token uint64) error {
+	ctx, cancel := context.WithTimeout(ctx, appointWait)
+	defer cancel()
+	return gu.me.seams.Appoint(ctx, Appointment{
+		Group: gu.name, Upstream: id, Holder: gu.me.settings.Name, Token: token,
+	})
+}
--- a/io/member/follow.go
+++ b/io/member/follow.go
@@ -10,29 +10,70 @@
 	"banyanspring/io/delay"
 )
 
-// followCatalog keeps the configuration in force up to date.
-func (me *Member) followCatalog(ctx context.Context) {
+// follower keeps one thing that the store holds up to date. The first member
+// watches the store for all; another one asks the store itself once the word of
+// the first is no longer fresh.
+type follower struct {
+	me   *Member
+	what string
+	// confirmedAt is when the store last confirmed what is known.
+	confirmedAt *instant
+	// read reads anew and returns the revision to wait from.
+	read func(ctx context.Context) (uint64, error)
+	// await waits for changes.
+	await func(ctx context.Context, since uint64) (uint64, error)
+	// pause is kept after each answer.
+	pause time.Duration
+}
+
+func (fo *follower) run(ctx context.Context) {
 	var since uint64
-	known := false
-	he := &health{me: me, what: "configuration"}
+	isKnown := false
+	he := &health{me: fo.me, what: fo.what}
 	for ctx.Err() == nil {
-		var ca *catlg.Catalog
+		asked := fo.me.seams.Now()
+		isFirst := fo.me.roster.isHolder(asked)
+		if !isFirst && asked.Sub(fo.confirmedAt.load()) < freshFor {
+			isKnown = false
+			delay.Pause(ctx, freshTick)
+			continue
+		}
 		var err error
-		if known {
-			ca, since, err = me.seams.Store.AwaitCatalog(ctx, since, watchWait)
+		if isKnown && isFirst {
+			since, err = fo.await(ctx, since)
 		} else {
-			ca, since, err = me.loadCatalog(ctx)
+			since, err = fo.read(ctx)
 		}
 		he.note(err)
-		known = err == nil
+		isKnown = err == nil
+		pause := fo.pause
 		if err != nil {
-			delay.Pause(ctx, retryPause)
-			continue
+			pause = retryPause
+		} else {
+			fo.confirmedAt.raise(asked)
+		}
+		delay.Pause(ctx, pause)
+	}
+}
+
+// followCatalog keeps the configuration in force up to date.
+func (me *Member) followCatalog(ctx context.Context) {
+	fo := &follower{me: me, what: "configuration", confirmedAt: &me.catalogAt}
+	fo.read = func(ctx context.Context) (uint64, error) {
+		ca, since, err := me.loadCatalog(ctx)
+		if err == nil {
+			me.offerCatalog(ca)
 		}
-		if ca != nil {
+		return since, err
+	}
+	fo.await = func(ctx context.Context, since uint64) (uint64, error) {
+		ca, since, err := me.seams.Store.AwaitCatalog(ctx, since, confirmWait)
+		if err == nil && ca != nil {
 			me.offerCatalog(ca)
 		}
+		return since, err
 	}
+	fo.run(ctx)
 }
 
 func (me *Member) loadCatalog(ctx context.Context) (*catlg.Catalog, uint64, error) {
@@ -52,24 +93,10 @@
 
 // followListing keeps the listing of upstreams up to date.
 func (me *Member) followListing(ctx context.Context) {
-	var since uint64
-	known := false
-	he := &health{me: me, what: "listing"}
-	for ctx.Err() == nil {
-		var err error
-		if known {
-			since, err = me.awaitListing(ctx, since)
-		} else {
-			since, err = me.readListing(ctx)
-		}
-		he.note(err)
-		known = err == nil
-		pause := listingPause
-		if err != nil {
-			pause = retryPause
-		}
-		delay.Pause(ctx, pause)
+	fo := &follower{
+		me: me, what: "listing", confirmedAt: &me.listingAt, read: me.readListing, await: me.awaitListing, pause: listingPause,
 	}
+	fo.run(ctx)
 }
 
 func (me *Member) readListing(ctx context.Context) (uint64, error) {
@@ -90,7 +117,7 @@
 }
 
 func (me *Member) awaitListing(ctx context.Context, since uint64) (uint64, error) {
-	changes, revision, err := me.seams.Store.AwaitUpstreams(ctx, since, watchWait)
+	changes, revision, err := me.seams.Store.AwaitUpstreams(ctx, since, confirmWait)
 	if err != nil {
 		return since, err
 	}
--- a/io/member/member.go
+++ b/io/member/member.go
@@ -66,8 +66,13 @@
 	catalog  *catlg.Keeper
 	engine   *engine.Engine
 	roster   *roster
+	peers    *peers
+	opinions *opinions
+	guards   *guards
 
 	listener net.Listener
+	// catalogAt and listingAt are when the store last confirmed what is known.
+	catalogAt, listingAt instant
 	// isListed is true once the upstreams were listed.
 	isListed atomic.Bool
 
@@ -80,6 +85,9 @@
 	me := &Member{settings: se, seams: sm, log: lg, catalog: catlg.NewKeeper()}
 	me.life = life.New(nil)
 	me.roster = newRoster(me)
+	me.peers = newPeers(me)
+	me.opinions = newOpinions()
+	me.guards = newGuards(me)
 	me.engine = engine.New(
 		engine.Settings{Site: se.Site, RegionOf: se.RegionOf, Pool: poolSettings},
 		engine.Seams{
@@ -115,6 +123,15 @@
 	sampleTick = 100 * time.Millisecond
 	// maintainTick is the time between two rounds over the pools.
 	maintainTick = 500 * time.Millisecond
+	// freshFor is how long what the store confirmed counts as fresh. It is kept
+	// fresh by the first member alone; the others ask the store if word of it
+	// does not come, well within the bounds on configuration.
+	freshFor = 1200 * time.Millisecond
+	// freshTick is the time between two looks at that.
+	freshTick = 200 * time.Millisecond
+	// confirmWait is how long the first member's watches wait, so that a deaf
+	// one is noticed soon.
+	confirmWait = 800 * time.Millisecond
 	// listingPause is kept between two answers of the listing's watch: each
 	// upstream writes every second, and a call costs more than its events.
 	listingPause = 300 * time.Millisecond
@@ -135,10 +152,15 @@
 	if err != nil {
 		return errors.Wrap(err, "listen for callers")
 	}
+	if err := me.peers.serve(); err != nil {
+		return err
+	}
 	go me.accept()
 	go me.followCatalog(ctx)
 	go me.followListing(ctx)
 	go me.roster.follow(ctx)
+	go me.peers.follow(ctx)
+	go me.guards.run(ctx)
 	go me.tick(ctx)
 	return nil
 }
--- /dev/null
+++ b/io/member/peer.go
@@ -0,0 +1,273 @@
+package member
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"io"
+	"net"
+	"net/http"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"banyanspring/core/catlg"
+	"banyanspring/core/evid"
+	"banyanspring/core/group"
+	"banyanspring/core/posn"
+	"banyanspring/io/delay"
+)
+
+const (
+	exchangePath = "/v1/exchange"
+	// exchangeEvery is the time between two exchanges with the source. Evidence
+	// has to reach all members well within the staleness that reads tolerate,
+	// and a leader's loss well within a statement's timeout.
+	exchangeEvery = 250 * time.Millisecond
+	// exchangeTimeout bounds one exchange; the slowest round trip between
+	// regions is some 20 ms.
+	exchangeTimeout = 400 * time.Millisecond
+	// maxExchange bounds what is read of an exchange, in bytes.
+	maxExchange = 8 << 20
+)
+
+// word is one member's opinion of a group's leader, on the wire. Ages count
+// back from the sending.
+type word struct {
+	From   string `json:"from"`
+	Group  string `json:"group"`
+	Leader string `json:"leader,omitempty"`
+	AgeMs  int64  `json:"age_ms"`
+	// ProvenMs and UnreachedMs are negative if there is none.
+	ProvenMs    int64 `json:"proven_ms"`
+	UnreachedMs int64 `json:"unreached_ms"`
+	Stalled     int   `json:"stalled,omitempty"`
+	// Term and Offset are the newest evidence, SampleMs old; negative if none.
+	Term     uint64 `json:"term,omitempty"`
+	Offset   uint64 `json:"offset,omitempty"`
+	SampleMs int64  `json:"sample_ms"`
+}
+
+// question is what a member tells its source, and what it has.
+type question struct {
+	From     string `json:"from"`
+	Catalog  uint64 `json:"catalog"`
+	Listing  uint64 `json:"listing"`
+	Opinions []word `json:"opinions"`
+}
+
+// reply is what a source knows and the asker lacks.
+type reply struct {
+	// Catalog is nil if the asker's is as new.
+	Catalog *catlg.Document `json:"catalog,omitempty"`
+	// CatalogMs and ListingMs are how long ago the store last confirmed them;
+	// negative if never.
+	CatalogMs int64 `json:"catalog_ms"`
+	ListingMs int64 `json:"listing_ms"`
+	// Listing is nil if the asker's is as new.
+	Listing  *listing `json:"listing,omitempty"`
+	Opinions []word   `json:"opinions"`
+}
+
+type listing struct {
+	Revision  uint64           `json:"revision"`
+	Upstreams []group.Upstream `json:"upstreams"`
+}
+
+// peers exchanges what members know. Each asks the first member of its failure
+// domain, and the first of each domain asks the first of all, so that the
+// number of exchanges grows with the members and no member serves them all.
+type peers struct {
+	me   *Member
+	http *http.Client
+}
+
+func newPeers(me *Member) *peers {
+	transport := &http.Transport{
+		DialContext: func(ctx context.Context, _, address string) (net.Conn, error) {
+			return me.seams.Dial(ctx, address)
+		},
+		MaxIdleConnsPerHost: 1,
+		DisableCompression:  true,
+	}
+	return &peers{me: me, http: &http.Client{Transport: transport}}
+}
+
+// serve answers the other members.
+func (ps *peers) serve() error {
+	mux := http.NewServeMux()
+	mux.HandleFunc("POST "+exchangePath, ps.handle)
+	ln, err := net.Listen("tcp", ps.me.settings.PeerAddress)
+	if err != nil {
+		return errors.Wrap(err, "listen for peers")
+	}
+	go func() { _ = http.Serve(ln, mux) }()
+	return nil
+}
+
+func (ps *peers) handle(rw http.ResponseWriter, rq *http.Request) {
+	var qu question
+	if err := json.NewDecoder(io.LimitReader(rq.Body, maxExchange)).Decode(&qu); err != nil {
+		http.Error(rw, err.Error(), http.StatusBadRequest)
+		return
+	}
+	now := ps.me.seams.Now()
+	ps.me.roster.heard(qu.From, now)
+	// A question may have been under way for a while, so that what it says of
+	// ages bounds nothing.
+	for pos := range qu.Opinions {
+		qu.Opinions[pos].SampleMs = -1
+		ps.me.opinions.note(qu.Opinions[pos], now)
+	}
+	rw.Header().Set("Content-Type", "application/json")
+	_ = json.NewEncoder(rw).Encode(ps.me.reply(qu, now))
+}
+
+// reply returns what the asker lacks.
+func (me *Member) reply(qu question, now time.Time) reply {
+	re := reply{
+		CatalogMs: ageMs(me.catalogAt.load(), now),
+		ListingMs: ageMs(me.listingAt.load(), now),
+		Opinions:  me.words(now),
+	}
+	if ca := me.catalog.Current(); ca.Version > qu.Catalog {
+		doc := ca.Document()
+		re.Catalog = &doc
+	}
+	me.mu.Lock()
+	vi := me.view
+	me.mu.Unlock()
+	if vi.Revision > qu.Listing {
+		re.Listing = &listing{Revision: vi.Revision, Upstreams: vi.All()}
+	}
+	return re
+}
+
+// follow exchanges with the source again and again.
+func (ps *peers) follow(ctx context.Context) {
+	for delay.Pause(ctx, exchangeEvery) {
+		for range maxSources {
+			source, ok := ps.me.roster.source(ps.me.seams.Now())
+			if !ok || ps.exchange(ctx, source) {
+				break
+			}
+		}
+	}
+}
+
+// maxSources bounds the sources that are tried in one round.
+const maxSources = 3
+
+// exchange asks one member and reports whether it answered.
+func (ps *peers) exchange(ctx context.Context, source entry) bool {
+	ctx, cancel := context.WithTimeout(ctx, exchangeTimeout)
+	defer cancel()
+	me := ps.me
+	asked := me.seams.Now()
+	me.mu.Lock()
+	revision := me.view.Revision
+	me.mu.Unlock()
+	qu := question{From: me.settings.Name, Catalog: me.catalog.Current().Version, Listing: revision, Opinions: me.words(asked)}
+	var re reply
+	err := ps.post(ctx, "http://"+source.Address+exchangePath, qu, &re)
+	me.roster.answered(source, err, me.seams.Now())
+	if err != nil {
+		return false
+	}
+	me.learn(re, asked)
+	return true
+}
+
+func (ps *peers) post(ctx context.Context, url string, body, out any) error {
+	raw, err := json.Marshal(body)
+	if err != nil {
+		return err
+	}
+	rq, err := http.NewRequestWithContext(ctx, http.MethodPost, url, bytes.NewReader(raw))
+	if err != nil {
+		return err
+	}
+	rs, err := ps.http.Do(rq)
+	if err != nil {
+		return err
+	}
+	defer func() { _ = rs.Body.Close() }()
+	if rs.StatusCode != http.StatusOK {
+		return errors.Newf("peer answered %d", rs.StatusCode)
+	}
+	return json.NewDecoder(io.LimitReader(rs.Body, maxExchange)).Decode(out)
+}
+
+// learn takes what a source said. Ages are counted from the question, so that
+// nothing is taken for younger than it is.
+func (me *Member) learn(re reply, asked time.Time) {
+	if re.Catalog != nil {
+		me.offerCatalog(catlg.FromDocument(*re.Catalog))
+	}
+	if re.CatalogMs >= 0 {
+		me.catalogAt.raise(asked.Add(-millis(re.CatalogMs)))
+	}
+	if re.Listing != nil {
+		vi := group.NewView(re.Listing.Revision, re.Listing.Upstreams)
+		me.setView(func(old group.View) group.View {
+			if vi.Revision <= old.Revision {
+				return old
+			}
+			return vi
+		})
+		me.isListed.Store(true)
+		me.noteReady()
+	}
+	if re.ListingMs >= 0 {
+		me.listingAt.raise(asked.Add(-millis(re.ListingMs)))
+	}
+	me.take(re.Opinions, asked)
+}
+
+// words returns the fresh opinions of this member and of those it heard from.
+func (me *Member) words(now time.Time) []word {
+	var out []word
+	for _, op := range me.engine.Opinions() {
+		out = append(out, word{
+			From:        me.settings.Name,
+			Group:       op.Group,
+			Leader:      op.Leader,
+			ProvenMs:    ageMs(op.ProvenAt, now),
+			UnreachedMs: ageMs(op.UnreachedSince, now),
+			Stalled:     op.StalledWrites,
+			Term:        op.Sample.Position.Term.Number,
+			Offset:      op.Sample.Position.Offset,
+			SampleMs:    ageMs(op.Sample.Asked, now),
+		})
+	}
+	return append(out, me.opinions.fresh(now)...)
+}
+
+// take notes opinions that were sent at the time given or later.
+func (me *Member) take(words []word, sent time.Time) {
+	for _, wo := range words {
+		if wo.From == me.settings.Name {
+			continue
+		}
+		if wo.SampleMs >= 0 {
+			me.engine.AddEvidence(wo.Group, evid.Sample{
+				Asked:    sent.Add(-millis(wo.SampleMs)),
+				Position: posn.Position{Term: posn.Term{Number: wo.Term}, Offset: wo.Offset},
+			})
+		}
+		if wo.ProvenMs >= 0 && wo.Leader != "" {
+			me.engine.NoteLeader(wo.Group, wo.Leader, sent.Add(-millis(wo.ProvenMs)))
+		}
+		me.opinions.note(wo, sent)
+	}
+}
+
+func millis(ms int64) time.Duration { return time.Duration(ms) * time.Millisecond }
+
+// ageMs returns an age in milliseconds, rounded up, or -1 for the zero time.
+func ageMs(at, now time.Time) int64 {
+	if at.IsZero() {
+		return -1
+	}
+	return max(0, int64((now.Sub(at)+time.Millisecond-1)/time.Millisecond))
+}
--- a/io/member/roster.go
+++ b/io/member/roster.go
@@ -1,9 +1,14 @@
 package member
 
 import (
+	"cmp"
 	"context"
 	"encoding/json"
+	"slices"
 	"sync"
+	"time"
+
+	"github.com/cockroachdb/errors"
 
 	"banyanspring/core/catlg"
 	"banyanspring/core/event"
@@ -22,8 +27,23 @@
 	Region  string `json:"region"`
 	// Started tells the lives of one name apart.
 	Started int64 `json:"started"`
-	// Token orders the holders of the duty; each start draws a new one.
-	Token uint64 `json:"token,omitempty"`
+	// Draws counts how often the member asked for a newer token.
+	Draws int `json:"draws"`
+}
+
+// member is what is known of one member.
+type known struct {
+	entry entry
+	// token is the revision of the member's own object. The store gives each
+	// number to one change, so that no two members ever hold the same, and a
+	// later writer holds a higher one.
+	token uint64
+	// downUntil is until when the member counts as gone.
+	downUntil time.Time
+	// failures counts exchanges that failed in a row.
+	failures int
+	// heardAt is when the member last asked or answered.
+	heardAt time.Time
 }
 
 // roster knows the members. It is safe for concurrent use.
@@ -31,12 +51,16 @@
 	me *Member
 
 	mu      sync.Mutex
-	members map[string]entry
-	// revisions holds the revision of each member's object.
-	revisions map[string]uint64
-	self      entry
+	members map[string]*known
+	self    entry
+	// revision is that of the own object; 0 if it does not exist.
+	revision uint64
 	// isTold is true once the own object holds self.
 	isTold bool
+	// isLeaving is true once this member is to be taken out.
+	isLeaving bool
+	// wake ends the wait for changes, so that the own object is written.
+	wake chan struct{}
 }
 
 func newRoster(me *Member) *roster {
@@ -45,9 +69,9 @@
 		Address: me.settings.PeerAddress,
 		Domain:  me.settings.Site.Domain,
 		Region:  me.settings.Site.Region,
-		Started: me.seams.Now().UnixNano(),
+		Started: time.Now().UnixNano(),
 	}
-	return &roster{me: me, members: make(map[string]entry), revisions: make(map[string]uint64), self: self}
+	return &roster{me: me, members: make(map[string]*known), self: self, wake: make(chan struct{}, 1)}
 }
 
 // follow tells the store of this member and learns of the others.
@@ -73,7 +97,7 @@
 // tell writes the own object if it does not hold what it should.
 func (ro *roster) tell(ctx context.Context) error {
 	ro.mu.Lock()
-	isTold, self, revision := ro.isTold, ro.self, ro.revisions[ro.self.Name]
+	isTold, self, revision := ro.isTold || ro.isLeaving, ro.self, ro.revision
 	ro.mu.Unlock()
 	if isTold {
 		return nil
@@ -90,15 +114,20 @@
 	ro.mu.Lock()
 	defer ro.mu.Unlock()
 	var lost ErrConflict
-	if asConflict(err, &lost) {
-		ro.revisions[self.Name] = lost.Object.Revision
+	switch {
+	case errors.As(err, &lost):
+		// An earlier life of this member, or a call of it whose answer was lost.
+		ro.revision = lost.Object.Revision
 		return err
-	}
-	if err != nil {
+	case IsErrObjectNotExist(err):
+		ro.revision = 0
+		return err
+	case err != nil:
 		return err
 	}
 	ro.isTold = true
-	ro.revisions[self.Name] = obj.Revision
+	ro.revision = obj.Revision
+	ro.note(obj)
 	return nil
 }
 
@@ -111,16 +140,36 @@
 	}
 	ro.mu.Lock()
 	defer ro.mu.Unlock()
-	ro.members = make(map[string]entry, len(objs))
+	listed := make(map[string]bool, len(objs))
 	for _, obj := range objs {
 		ro.note(obj)
+		listed[obj.Name] = true
+	}
+	for name := range ro.members {
+		if !listed[name] {
+			ro.forget(name)
+		}
 	}
 	ro.changed()
 	return revision, nil
 }
 
+// await waits for changes of the members; a wish to write the own object ends
+// it.
 func (ro *roster) await(ctx context.Context, since uint64) (uint64, error) {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	go func() {
+		select {
+		case <-ro.wake:
+			cancel()
+		case <-ctx.Done():
+		}
+	}()
 	events, revision, err := ro.me.seams.Store.Await(ctx, kindMember, since, watchWait)
+	if err != nil && ctx.Err() != nil {
+		return since, nil
+	}
 	if err != nil {
 		return since, err
 	}
@@ -128,8 +177,7 @@
 	defer ro.mu.Unlock()
 	for _, ev := range events {
 		if ev.Gone {
-			delete(ro.members, ev.Object.Name)
-			delete(ro.revisions, ev.Object.Name)
+			ro.forget(ev.Object.Name)
 			continue
 		}
 		ro.note(ev.Object)
@@ -147,13 +195,143 @@
 		event.Log(ro.me.log, event.EntrySkipped, "kind", kindMember, "name", obj.Name)
 		return
 	}
-	ro.members[obj.Name] = en
-	ro.revisions[obj.Name] = obj.Revision
+	if old := ro.members[obj.Name]; old != nil && old.token == obj.Revision {
+		return
+	}
+	ro.members[obj.Name] = &known{entry: en, token: obj.Revision, heardAt: ro.me.seams.Now()}
+	if en.Name == ro.self.Name && en != ro.self && !ro.isLeaving {
+		// A late write of an earlier life has replaced the own object.
+		ro.isTold, ro.revision = false, obj.Revision
+	}
+}
+
+// forget drops a member; mu is held.
+func (ro *roster) forget(name string) {
+	delete(ro.members, name)
+	if name == ro.self.Name {
+		ro.isTold, ro.revision = false, 0
+	}
 }
 
 // changed logs the members; mu is held.
 func (ro *roster) changed() {
-	event.Log(ro.me.log, event.MembersChanged, "members", len(ro.members))
+	event.Log(ro.me.log, event.MembersChanged, "members", len(ro.members), "token", ro.token())
+}
+
+// token returns this member's token, 0 if it has none; mu is held.
+func (ro *roster) token() uint64 {
+	if !ro.isTold {
+		return 0
+	}
+	return ro.revision
+}
+
+// Token returns this member's token, and false if it has none.
+func (ro *roster) Token() (uint64, bool) {
+	ro.mu.Lock()
+	defer ro.mu.Unlock()
+	to := ro.token()
+	return to, to != 0
+}
+
+// draw asks for a newer token, because a newer holder of the duty is known.
+func (ro *roster) draw(refused uint64) {
+	ro.mu.Lock()
+	defer ro.mu.Unlock()
+	if !ro.isTold || ro.revision != refused {
+		return
+	}
+	ro.self.Draws++
+	ro.isTold = false
+	select {
+	case ro.wake <- struct{}{}:
+	default:
+	}
+}
+
+// heard notes that a member is there.
+func (ro *roster) heard(name string, now time.Time) {
+	ro.mu.Lock()
+	defer ro.mu.Unlock()
+	if kn := ro.members[name]; kn != nil {
+		kn.heardAt, kn.failures, kn.downUntil = now, 0, time.Time{}
+	}
+}
+
+const (
+	// failuresDown is how many exchanges in a row must fail before a member
+	// counts as gone; one may meet a dead connection.
+	failuresDown = 2
+	// downFor is for how long, before it is tried again.
+	downFor = 1500 * time.Millisecond
+)
+
+// answered notes how an exchange with a member ended.
+func (ro *roster) answered(en entry, err error, now time.Time) {
+	if err == nil {
+		ro.heard(en.Name, now)
+		return
+	}
+	ro.mu.Lock()
+	defer ro.mu.Unlock()
+	kn := ro.members[en.Name]
+	if kn == nil {
+		return
+	}
+	kn.failures++
+	if kn.failures >= failuresDown {
+		kn.downUntil = now.Add(downFor)
+	}
+	if kn.failures == failuresDown {
+		event.Log(ro.me.log, event.PeerUnreached, "peer", en.Name, "address", en.Address, "error", err.Error())
+	}
+}
+
+// ranked returns the members that are there, oldest token first; mu is held.
+func (ro *roster) ranked(now time.Time) []*known {
+	out := make([]*known, 0, len(ro.members))
+	for _, kn := range ro.members {
+		if kn.entry.Name == ro.self.Name || !now.Before(kn.downUntil) {
+			out = append(out, kn)
+		}
+	}
+	slices.SortFunc(out, func(left, right *known) int { return cmp.Compare(left.token, right.token) })
+	return out
+}
+
+// source returns the member to exchange with: the first of the own failure
+// domain, or the first of all, or the second if this one is the first.
+func (ro *roster) source(now time.Time) (entry, bool) {
+	ro.mu.Lock()
+	defer ro.mu.Unlock()
+	ranked := ro.ranked(now)
+	for _, kn := range ranked {
+		if kn.entry.Domain != ro.self.Domain {
+			continue
+		}
+		if kn.entry.Name != ro.self.Name {
+			return kn.entry, true
+		}
+		break
+	}
+	for _, kn := range ranked {
+		if kn.entry.Name != ro.self.Name {
+			return kn.entry, true
+		}
+	}
+	return entry{}, false
+}
+
+// isHolder reports whether this member is the first of those that are there,
+// and so holds the duty.
+func (ro *roster) isHolder(now time.Time) bool {
+	ro.mu.Lock()
+	defer ro.mu.Unlock()
+	if ro.isLeaving {
+		return false
+	}
+	ranked := ro.ranked(now)
+	return len(ranked) > 0 && ranked[0].entry.Name == ro.self.Name
 }
 
 // size returns how many members share the connections, and false if that is
@@ -161,16 +339,14 @@
 func (ro *roster) size() (int, bool) {
 	ro.mu.Lock()
 	defer ro.mu.Unlock()
-	if len(ro.members) == 0 {
-		return 0, false
-	}
-	return len(ro.members), true
+	return len(ro.members), len(ro.members) > 0
 }
 
 // leave takes this member out of the store.
 func (ro *roster) leave(ctx context.Context) {
 	ro.mu.Lock()
-	revision := ro.revisions[ro.self.Name]
+	ro.isLeaving = true
+	revision := ro.revision
 	ro.mu.Unlock()
 	if revision == 0 {
 		return
--- a/io/member/store.go
+++ b/io/member/store.go
@@ -96,9 +96,6 @@
 	return errors.As(err, &er)
 }
 
-// asConflict reports whether err is a lost race and stores it.
-func asConflict(err error, lost *ErrConflict) bool { return errors.As(err, lost) }
-
 // ErrAppointRefused is returned by an appointment whose token is too old or
 // whose upstream does not run.
 type ErrAppointRefused struct{ Detail string }
