Exchange less, and watch the store by its bounds

Cause: each exchange carried every member's opinion both ways, and the first member's word of the store was older than 1.2 s by the time it had passed two hops, so that all members asked the store too. Change: a source returns merged evidence; across regions exchanges are rarer while all is well; freshness is a share of the bounds in the settings; members that count as gone are tried beside the exchange and do not take the duty back for a moment by themselves.

--- a/io/engine/group.go
+++ b/io/engine/group.go
@@ -199,14 +199,14 @@
 }
 
 // needsSample reports whether reads of late will want newer evidence.
-func (gr *groupState) needsSample(now time.Time) bool {
+func (gr *groupState) needsSample(now time.Time, age time.Duration) bool {
 	gr.mu.Lock()
 	defer gr.mu.Unlock()
 	if now.Sub(gr.readAt) > sampleWhileRead {
 		return false
 	}
 	sa, ok := gr.track.Newest()
-	return !ok || now.Sub(sa.Asked) >= sampleEvery
+	return !ok || now.Sub(sa.Asked) >= age
 }
 
 // beginSeek reports whether the caller is to ask the members who leads.
--- a/io/engine/pick.go
+++ b/io/engine/pick.go
@@ -21,8 +21,6 @@
 	// ageMargin is kept free of a read's tolerated age for the time between the
 	// decision and the read's start.
 	ageMargin = 100 * time.Millisecond
-	// sampleEvery is the age at which the newest evidence is renewed.
-	sampleEvery = 250 * time.Millisecond
 	// sampleWhileRead is how long evidence is renewed after the last read.
 	sampleWhileRead = 5 * time.Second
 )
--- a/io/engine/seek.go
+++ b/io/engine/seek.go
@@ -71,13 +71,13 @@
 	return true
 }
 
-// Sample renews the evidence of all groups that are read. It is called every
-// hundred milliseconds or so and does not wait.
-func (en *Engine) Sample() {
+// Sample renews the evidence of all groups that are read once it is of the age
+// given. It is called every hundred milliseconds or so and does not wait.
+func (en *Engine) Sample(age time.Duration) {
 	now := en.seams.Now()
 	for _, gr := range *en.groups.Load() {
 		up, _ := gr.currentLeader()
-		if up == nil || up.isAvoided(now) || !gr.needsSample(now) || !gr.beginSeek() {
+		if up == nil || up.isAvoided(now) || !gr.needsSample(now, age) || !gr.beginSeek() {
 			continue
 		}
 		go func() {
--- a/io/member/change.go
+++ b/io/member/change.go
@@ -17,6 +17,9 @@
 // errNoCandidate is returned if no replica can be promoted.
 var errNoCandidate = errors.New("no replica can be promoted")
 
+// maxShift keeps the pause between two changes from overflowing.
+const maxShift = 8
+
 // change replaces the group's leader; see core/elect for the order of it.
 func (gu *guard) change(ctx context.Context, reason elect.Reason) {
 	began := gu.me.seams.Now()
@@ -26,13 +29,14 @@
 	defer gu.mu.Unlock()
 	gu.isChanging = false
 	if err != nil {
-		gu.retryAt = now.Add(changeRetry)
+		gu.retryAt = now.Add(min(changeRetry<<min(gu.failures, maxShift), changeRetryMost))
+		gu.failures++
 		event.Log(gu.me.log, event.PromotionFailed, "group", gu.name, "candidate", candidate, "reason", string(reason),
 			"error", err.Error(), "took", now.Sub(began).String())
 		return
 	}
 	gu.leader, gu.watchedSince, gu.heardAt, gu.refused = candidate, now, now, false
-	gu.changedAt = now
+	gu.changedAt, gu.failures = now, 0
 	event.Log(gu.me.log, event.HandoverDone, "group", gu.name, "upstream", candidate, "reason", string(reason),
 		"took", now.Sub(began).String())
 }
--- a/io/member/follow.go
+++ b/io/member/follow.go
@@ -24,6 +24,8 @@
 	await func(ctx context.Context, since uint64) (uint64, error)
 	// pause is kept after each answer.
 	pause time.Duration
+	// freshFor is how long what the store confirmed counts as fresh.
+	freshFor time.Duration
 }
 
 func (fo *follower) run(ctx context.Context) {
@@ -32,8 +34,8 @@
 	he := &health{me: fo.me, what: fo.what}
 	for ctx.Err() == nil {
 		asked := fo.me.seams.Now()
-		isFirst := fo.me.roster.isHolder(asked)
-		if !isFirst && asked.Sub(fo.confirmedAt.load()) < freshFor {
+		isFirst := fo.me.roster.isHolder()
+		if !isFirst && asked.Sub(fo.confirmedAt.load()) < fo.freshFor {
 			isKnown = false
 			delay.Pause(ctx, freshTick)
 			continue
@@ -58,7 +60,7 @@
 
 // followCatalog keeps the configuration in force up to date.
 func (me *Member) followCatalog(ctx context.Context) {
-	fo := &follower{me: me, what: "configuration", confirmedAt: &me.catalogAt}
+	fo := &follower{me: me, what: "configuration", confirmedAt: &me.catalogAt, freshFor: me.settings.ApplyBound * freshShare / 100}
 	fo.read = func(ctx context.Context) (uint64, error) {
 		ca, since, err := me.loadCatalog(ctx)
 		if err == nil {
@@ -67,7 +69,7 @@
 		return since, err
 	}
 	fo.await = func(ctx context.Context, since uint64) (uint64, error) {
-		ca, since, err := me.seams.Store.AwaitCatalog(ctx, since, confirmWait)
+		ca, since, err := me.seams.Store.AwaitCatalog(ctx, since, me.settings.ApplyBound*confirmShare/100)
 		if err == nil && ca != nil {
 			me.offerCatalog(ca)
 		}
@@ -94,7 +96,8 @@
 // followListing keeps the listing of upstreams up to date.
 func (me *Member) followListing(ctx context.Context) {
 	fo := &follower{
-		me: me, what: "listing", confirmedAt: &me.listingAt, read: me.readListing, await: me.awaitListing, pause: listingPause,
+		me: me, what: "listing", confirmedAt: &me.listingAt, read: me.readListing, await: me.awaitListing,
+		pause: listingPause, freshFor: me.settings.DrainBound * freshShare / 100,
 	}
 	fo.run(ctx)
 }
@@ -117,7 +120,7 @@
 }
 
 func (me *Member) awaitListing(ctx context.Context, since uint64) (uint64, error) {
-	changes, revision, err := me.seams.Store.AwaitUpstreams(ctx, since, confirmWait)
+	changes, revision, err := me.seams.Store.AwaitUpstreams(ctx, since, me.settings.ApplyBound*confirmShare/100)
 	if err != nil {
 		return since, err
 	}
--- a/io/member/guard.go
+++ b/io/member/guard.go
@@ -20,6 +20,8 @@
 const (
 	// guardEvery is the time between two rounds over the groups.
 	guardEvery = 100 * time.Millisecond
+	// askAfter is how long a leader may be unheard of before it is asked.
+	askAfter = 150 * time.Millisecond
 	// guardAsk bounds one question of a guard. It takes no slot, so that it
 	// answers within the round trip even under load.
 	guardAsk = 300 * time.Millisecond
@@ -32,8 +34,10 @@
 	leadWait = 2500 * time.Millisecond
 	// leadPoll is the pause between two questions whether it does.
 	leadPoll = 40 * time.Millisecond
-	// changeRetry is kept after a change that did not go on.
-	changeRetry = 200 * time.Millisecond
+	// changeRetry is kept after a change that did not go on; it doubles with
+	// each further one up to changeRetryMost.
+	changeRetry     = 100 * time.Millisecond
+	changeRetryMost = 1600 * time.Millisecond
 	// catchUpTries is how often a candidate that is behind is looked at again.
 	catchUpTries = 8
 	// catchUpPause is kept between two looks at a candidate that is behind.
@@ -64,7 +68,7 @@
 func (gs *guards) run(ctx context.Context) {
 	for delay.Pause(ctx, guardEvery) {
 		now := gs.me.seams.Now()
-		isHolder := gs.me.roster.isHolder(now)
+		isHolder := gs.me.roster.isHolder()
 		gs.noteDuty(isHolder)
 		if !isHolder {
 			continue
@@ -126,7 +130,9 @@
 	changedAt    time.Time
 	// isAsking and isChanging are true while such work is under way.
 	isAsking, isChanging bool
-	retryAt              time.Time
+	// failures counts changes that did not go on, in a row.
+	failures int
+	retryAt  time.Time
 }
 
 func (gu *guard) close() {
@@ -156,7 +162,7 @@
 	if op.Leader == gu.leader && op.ProvenAt.After(gu.heardAt) {
 		gu.heardAt, gu.refused = op.ProvenAt, false
 	}
-	if isListed && !gu.isAsking {
+	if isListed && !gu.isAsking && now.Sub(gu.heardAt) >= askAfter {
 		gu.isAsking = true
 		go gu.ask(leader)
 	}
--- a/io/member/member.go
+++ b/io/member/member.go
@@ -33,9 +33,11 @@
 	PeerAddress string
 	// Grace is the time from the order to leave to the forced end.
 	Grace time.Duration
-	// Slow bounds the time that a network path may take to be given up, as the
-	// platform judges it.
-	Slow time.Duration
+	// ApplyBound is the time within which a configuration must be in force.
+	ApplyBound time.Duration
+	// DrainBound is the time within which a leaving upstream must get no more
+	// work.
+	DrainBound time.Duration
 }
 
 // Seams are what a member needs from outside.
@@ -123,18 +125,19 @@
 	sampleTick = 100 * time.Millisecond
 	// maintainTick is the time between two rounds over the pools.
 	maintainTick = 500 * time.Millisecond
-	// freshFor is how long what the store confirmed counts as fresh. It is kept
-	// fresh by the first member alone; the others ask the store if word of it
-	// does not come, well within the bounds on configuration.
-	freshFor = 1200 * time.Millisecond
+	// freshShare is the part of a bound, in hundredths, for which what the store
+	// confirmed counts as fresh. The first member keeps it fresh for all; the
+	// others ask the store themselves if word of it does not come, and have the
+	// rest of the bound for that.
+	freshShare = 60
+	// confirmShare is the part of the bound on configuration, in hundredths, for
+	// which the first member's watches wait, so that a deaf one is noticed soon.
+	confirmShare = 27
 	// freshTick is the time between two looks at that.
 	freshTick = 200 * time.Millisecond
-	// confirmWait is how long the first member's watches wait, so that a deaf
-	// one is noticed soon.
-	confirmWait = 800 * time.Millisecond
 	// listingPause is kept between two answers of the listing's watch: each
 	// upstream writes every second, and a call costs more than its events.
-	listingPause = 300 * time.Millisecond
+	listingPause = 600 * time.Millisecond
 	// watchWait is how long a watch of seldom changes waits.
 	watchWait = 20 * time.Second
 	// callTimeout bounds a call to the store that does not wait.
@@ -184,7 +187,7 @@
 func (me *Member) tick(ctx context.Context) {
 	maintainAt := me.seams.Now()
 	for delay.Pause(ctx, sampleTick) {
-		me.engine.Sample()
+		me.engine.Sample(me.sampleAge())
 		now := me.seams.Now()
 		if now.Before(maintainAt) {
 			continue
@@ -194,6 +197,22 @@
 	}
 }
 
+const (
+	// holderSample is the age at which the first member renews its evidence.
+	holderSample = 250 * time.Millisecond
+	// otherSample is the same for the others, who usually hear of the first
+	// member's evidence before.
+	otherSample = 900 * time.Millisecond
+)
+
+// sampleAge returns the age at which this member renews its evidence.
+func (me *Member) sampleAge() time.Duration {
+	if me.roster.isHolder() {
+		return holderSample
+	}
+	return otherSample
+}
+
 // IsReady reports whether callers should be sent here.
 func (me *Member) IsReady() bool {
 	return me.life.State() == life.Serving
--- a/io/member/opinions.go
+++ b/io/member/opinions.go
@@ -60,9 +60,9 @@
 	return out
 }
 
-// older returns an age after more time has passed; negative stands for none.
+// older returns an age after more time has passed; zero stands for none.
 func older(age, passed int64) int64 {
-	if age < 0 {
+	if age == 0 {
 		return age
 	}
 	return age + passed
@@ -90,7 +90,7 @@
 
 // before turns an age at the sending into a time.
 func before(he heardWord, age int64) time.Time {
-	if age < 0 {
+	if age == 0 {
 		return time.Time{}
 	}
 	return he.at.Add(millis(he.word.AgeMs - age))
--- a/io/member/peer.go
+++ b/io/member/peer.go
@@ -24,6 +24,9 @@
 	// has to reach all members well within the staleness that reads tolerate,
 	// and a leader's loss well within a statement's timeout.
 	exchangeEvery = 250 * time.Millisecond
+	// exchangeAcross is the same with a source in another region while all is
+	// well: the link between regions is scarce and paid by volume.
+	exchangeAcross = 450 * time.Millisecond
 	// exchangeTimeout bounds one exchange; the slowest round trip between
 	// regions is some 20 ms.
 	exchangeTimeout = 400 * time.Millisecond
@@ -34,18 +37,18 @@
 // word is one member's opinion of a group's leader, on the wire. Ages count
 // back from the sending.
 type word struct {
-	From   string `json:"from"`
+	From   string `json:"from,omitempty"`
 	Group  string `json:"group"`
 	Leader string `json:"leader,omitempty"`
-	AgeMs  int64  `json:"age_ms"`
-	// ProvenMs and UnreachedMs are negative if there is none.
-	ProvenMs    int64 `json:"proven_ms"`
-	UnreachedMs int64 `json:"unreached_ms"`
+	AgeMs  int64  `json:"age,omitempty"`
+	// ProvenMs and UnreachedMs are zero if there is none.
+	ProvenMs    int64 `json:"proven,omitempty"`
+	UnreachedMs int64 `json:"unreached,omitempty"`
 	Stalled     int   `json:"stalled,omitempty"`
-	// Term and Offset are the newest evidence, SampleMs old; negative if none.
+	// Term and Offset are the newest evidence, SampleMs old; zero if none.
 	Term     uint64 `json:"term,omitempty"`
 	Offset   uint64 `json:"offset,omitempty"`
-	SampleMs int64  `json:"sample_ms"`
+	SampleMs int64  `json:"sample,omitempty"`
 }
 
 // question is what a member tells its source, and what it has.
@@ -61,12 +64,13 @@
 	// Catalog is nil if the asker's is as new.
 	Catalog *catlg.Document `json:"catalog,omitempty"`
 	// CatalogMs and ListingMs are how long ago the store last confirmed them;
-	// negative if never.
-	CatalogMs int64 `json:"catalog_ms"`
-	ListingMs int64 `json:"listing_ms"`
+	// zero if never.
+	CatalogMs int64 `json:"catalog_ms,omitempty"`
+	ListingMs int64 `json:"listing_ms,omitempty"`
 	// Listing is nil if the asker's is as new.
-	Listing  *listing `json:"listing,omitempty"`
-	Opinions []word   `json:"opinions"`
+	Listing *listing `json:"listing,omitempty"`
+	// Evidence is the newest evidence on each group's leader.
+	Evidence []word `json:"evidence"`
 }
 
 type listing struct {
@@ -116,7 +120,7 @@
 	// A question may have been under way for a while, so that what it says of
 	// ages bounds nothing.
 	for pos := range qu.Opinions {
-		qu.Opinions[pos].SampleMs = -1
+		qu.Opinions[pos].SampleMs = 0
 		ps.me.opinions.note(qu.Opinions[pos], now)
 	}
 	rw.Header().Set("Content-Type", "application/json")
@@ -128,7 +132,7 @@
 	re := reply{
 		CatalogMs: ageMs(me.catalogAt.load(), now),
 		ListingMs: ageMs(me.listingAt.load(), now),
-		Opinions:  me.words(now),
+		Evidence:  me.evidence(now),
 	}
 	if ca := me.catalog.Current(); ca.Version > qu.Catalog {
 		doc := ca.Document()
@@ -145,16 +149,39 @@
 
 // follow exchanges with the source again and again.
 func (ps *peers) follow(ctx context.Context) {
-	for delay.Pause(ctx, exchangeEvery) {
+	pause := exchangeEvery
+	for delay.Pause(ctx, pause) {
+		pause = exchangeEvery
 		for range maxSources {
-			source, ok := ps.me.roster.source(ps.me.seams.Now())
-			if !ok || ps.exchange(ctx, source) {
+			now := ps.me.seams.Now()
+			if en, ok := ps.me.roster.lost(now); ok {
+				go ps.exchange(ctx, en)
+			}
+			source, ok := ps.me.roster.source()
+			if !ok {
+				break
+			}
+			if ps.exchange(ctx, source) {
+				if source.Region != ps.me.settings.Site.Region && !ps.me.isTroubled() {
+					pause = exchangeAcross
+				}
 				break
 			}
 		}
 	}
 }
 
+// isTroubled reports whether a leader is not reached or does not answer writes,
+// which others should hear of soon.
+func (me *Member) isTroubled() bool {
+	for _, op := range me.engine.Opinions() {
+		if !op.UnreachedSince.IsZero() || op.StalledWrites > 0 {
+			return true
+		}
+	}
+	return false
+}
+
 // maxSources bounds the sources that are tried in one round.
 const maxSources = 3
 
@@ -204,7 +231,7 @@
 	if re.Catalog != nil {
 		me.offerCatalog(catlg.FromDocument(*re.Catalog))
 	}
-	if re.CatalogMs >= 0 {
+	if re.CatalogMs > 0 {
 		me.catalogAt.raise(asked.Add(-millis(re.CatalogMs)))
 	}
 	if re.Listing != nil {
@@ -218,16 +245,40 @@
 		me.isListed.Store(true)
 		me.noteReady()
 	}
-	if re.ListingMs >= 0 {
+	if re.ListingMs > 0 {
 		me.listingAt.raise(asked.Add(-millis(re.ListingMs)))
 	}
-	me.take(re.Opinions, asked)
+	me.take(re.Evidence, asked)
+}
+
+// evidence returns what this member knows of each group's leader.
+func (me *Member) evidence(now time.Time) []word {
+	ops := me.engine.Opinions()
+	out := make([]word, 0, len(ops))
+	for _, op := range ops {
+		if op.Leader == "" && op.Sample.Asked.IsZero() {
+			continue
+		}
+		out = append(out, word{
+			Group:    op.Group,
+			Leader:   op.Leader,
+			ProvenMs: ageMs(op.ProvenAt, now),
+			Term:     op.Sample.Position.Term.Number,
+			Offset:   op.Sample.Position.Offset,
+			SampleMs: ageMs(op.Sample.Asked, now),
+		})
+	}
+	return out
 }
 
 // words returns the fresh opinions of this member and of those it heard from.
 func (me *Member) words(now time.Time) []word {
-	var out []word
-	for _, op := range me.engine.Opinions() {
+	ops := me.engine.Opinions()
+	out := make([]word, 0, len(ops))
+	for _, op := range ops {
+		if op.Leader == "" {
+			continue
+		}
 		out = append(out, word{
 			From:        me.settings.Name,
 			Group:       op.Group,
@@ -235,39 +286,33 @@
 			ProvenMs:    ageMs(op.ProvenAt, now),
 			UnreachedMs: ageMs(op.UnreachedSince, now),
 			Stalled:     op.StalledWrites,
-			Term:        op.Sample.Position.Term.Number,
-			Offset:      op.Sample.Position.Offset,
-			SampleMs:    ageMs(op.Sample.Asked, now),
 		})
 	}
 	return append(out, me.opinions.fresh(now)...)
 }
 
-// take notes opinions that were sent at the time given or later.
+// take notes evidence that was sent at the time given or later.
 func (me *Member) take(words []word, sent time.Time) {
 	for _, wo := range words {
-		if wo.From == me.settings.Name {
-			continue
-		}
-		if wo.SampleMs >= 0 {
+		if wo.SampleMs > 0 {
 			me.engine.AddEvidence(wo.Group, evid.Sample{
 				Asked:    sent.Add(-millis(wo.SampleMs)),
 				Position: posn.Position{Term: posn.Term{Number: wo.Term}, Offset: wo.Offset},
 			})
 		}
-		if wo.ProvenMs >= 0 && wo.Leader != "" {
+		if wo.ProvenMs > 0 && wo.Leader != "" {
 			me.engine.NoteLeader(wo.Group, wo.Leader, sent.Add(-millis(wo.ProvenMs)))
 		}
-		me.opinions.note(wo, sent)
 	}
 }
 
 func millis(ms int64) time.Duration { return time.Duration(ms) * time.Millisecond }
 
-// ageMs returns an age in milliseconds, rounded up, or -1 for the zero time.
+// ageMs returns an age in milliseconds, rounded up to at least 1, or 0 for the
+// zero time.
 func ageMs(at, now time.Time) int64 {
 	if at.IsZero() {
-		return -1
+		return 0
 	}
-	return max(0, int64((now.Sub(at)+time.Millisecond-1)/time.Millisecond))
+	return max(1, int64((now.Sub(at)+time.Millisecond-1)/time.Millisecond))
 }
--- a/io/member/roster.go
+++ b/io/member/roster.go
@@ -38,10 +38,10 @@
 	// number to one change, so that no two members ever hold the same, and a
 	// later writer holds a higher one.
 	token uint64
-	// downUntil is until when the member counts as gone.
-	downUntil time.Time
 	// failures counts exchanges that failed in a row.
 	failures int
+	// retryAt is when a member that counts as gone is tried again.
+	retryAt time.Time
 	// heardAt is when the member last asked or answered.
 	heardAt time.Time
 }
@@ -254,7 +254,7 @@
 	ro.mu.Lock()
 	defer ro.mu.Unlock()
 	if kn := ro.members[name]; kn != nil {
-		kn.heardAt, kn.failures, kn.downUntil = now, 0, time.Time{}
+		kn.heardAt, kn.failures = now, 0
 	}
 }
 
@@ -262,8 +262,8 @@
 	// failuresDown is how many exchanges in a row must fail before a member
 	// counts as gone; one may meet a dead connection.
 	failuresDown = 2
-	// downFor is for how long, before it is tried again.
-	downFor = 1500 * time.Millisecond
+	// retryLost is the time between two tries of a member that counts as gone.
+	retryLost = time.Second
 )
 
 // answered notes how an exchange with a member ended.
@@ -279,19 +279,32 @@
 		return
 	}
 	kn.failures++
-	if kn.failures >= failuresDown {
-		kn.downUntil = now.Add(downFor)
-	}
+	kn.retryAt = now.Add(retryLost)
 	if kn.failures == failuresDown {
 		event.Log(ro.me.log, event.PeerUnreached, "peer", en.Name, "address", en.Address, "error", err.Error())
 	}
 }
 
+// lost returns a member that counts as gone and is to be tried again: one of
+// older token than this one's, since only these matter to it.
+func (ro *roster) lost(now time.Time) (entry, bool) {
+	ro.mu.Lock()
+	defer ro.mu.Unlock()
+	for _, kn := range ro.members {
+		if kn.failures < failuresDown || now.Before(kn.retryAt) || kn.token > ro.token() {
+			continue
+		}
+		kn.retryAt = now.Add(retryLost)
+		return kn.entry, true
+	}
+	return entry{}, false
+}
+
 // ranked returns the members that are there, oldest token first; mu is held.
-func (ro *roster) ranked(now time.Time) []*known {
+func (ro *roster) ranked() []*known {
 	out := make([]*known, 0, len(ro.members))
 	for _, kn := range ro.members {
-		if kn.entry.Name == ro.self.Name || !now.Before(kn.downUntil) {
+		if kn.entry.Name == ro.self.Name || kn.failures < failuresDown {
 			out = append(out, kn)
 		}
 	}
@@ -301,10 +314,10 @@
 
 // source returns the member to exchange with: the first of the own failure
 // domain, or the first of all, or the second if this one is the first.
-func (ro *roster) source(now time.Time) (entry, bool) {
+func (ro *roster) source() (entry, bool) {
 	ro.mu.Lock()
 	defer ro.mu.Unlock()
-	ranked := ro.ranked(now)
+	ranked := ro.ranked()
 	for _, kn := range ranked {
 		if kn.entry.Domain != ro.self.Domain {
 			continue
@@ -324,13 +337,13 @@
 
 // isHolder reports whether this member is the first of those that are there,
 // and so holds the duty.
-func (ro *roster) isHolder(now time.Time) bool {
+func (ro *roster) isHolder() bool {
 	ro.mu.Lock()
 	defer ro.mu.Unlock()
 	if ro.isLeaving {
 		return false
 	}
-	ranked := ro.ranked(now)
+	ranked := ro.ranked()
 	return len(ranked) > 0 && ranked[0].entry.Name == ro.self.Name
 }
 
