Reach upstreams through homes where connections cannot be divided

Change: core/share gives each instance its share while that is at least two; else two or more homes, chosen by weighted rendezvous hashing in the upstream's failure domain, hold the connections, and the others send whole batches of statements to them (CBOR over TCP; a lease stays while a transaction is open). Members are followed like the configuration: the first member watches, the others exchange; silent members are taken out of the store. Ruled out: one home (its death takes the database away); relaying single messages (a round trip more for each opening); gRPC streams for each lease (memory and processor time of instances with 0.19 cores).

--- a/core/event/event.go
+++ b/core/event/event.go
@@ -50,6 +50,7 @@
 
 	PeerUnreached  ID = 401
 	PeerLeaving    ID = 403
+	PeerRemoved    ID = 408
 	MembersChanged ID = 404
 	DutyTaken      ID = 405
 	DutyRefused    ID = 406
@@ -118,6 +119,7 @@
 	{PeerUnreached, slog.LevelWarn, "peer_unreached", "Another daemon cannot be reached."},
 	{PeerLeaving, slog.LevelInfo, "peer_leaving", "Another daemon said that it is leaving."},
 
+	{PeerRemoved, slog.LevelInfo, "peer_removed", "A member that was silent for long was taken out of the store."},
 	{MembersChanged, slog.LevelInfo, "members_changed", "The instances known have changed, and with them the shares of connections."},
 	{DutyTaken, slog.LevelInfo, "duty_taken", "This instance watches over the groups from now on."},
 	{DutyLeft, slog.LevelInfo, "duty_left", "Another instance holds the duty from now on."},
--- /dev/null
+++ b/core/share/share.go
@@ -0,0 +1,115 @@
+// Package share divides the few connections that an upstream takes among all
+// instances: evenly while each can have enough, or else to a few homes through
+// which the others reach it.
+package share
+
+import (
+	"cmp"
+	"math"
+	"slices"
+
+	"github.com/cespare/xxhash/v2"
+
+	"banyanspring/core/place"
+)
+
+// Member is one instance that shares.
+type Member struct {
+	// Name is unique in the fleet.
+	Name string
+	// Address is where the member relays, "ip:port".
+	Address string
+	Site    place.Site
+	// Weight is the member's size; a home's load grows with its weight.
+	Weight float64
+}
+
+// Share is what one instance has of an upstream's connections.
+type Share struct {
+	// Quota is how many connections the instance may have; 0 if it is to use
+	// the homes.
+	Quota int
+	// Homes holds the addresses of the homes, best first; empty if each
+	// instance has a quota.
+	Homes []string
+}
+
+const (
+	// reserved connections are shared out to nobody: the holder of the duty and
+	// its successor need one each.
+	reserved = 2
+	// enough is how many connections an instance needs to do without homes: one
+	// may be held by a transaction.
+	enough = 2
+	// perHome is how many connections a home should have. Fewer homes queue
+	// less, since a connection that is idle at one cannot serve another's
+	// callers; with 15 that waste is below a tenth at common loads.
+	perHome = 15
+	// leastHomes keeps an upstream in reach when a home fails.
+	leastHomes = 2
+)
+
+// Of returns self's share of the connections to an upstream, which stands at
+// the site and takes connections connections from all instances together.
+func Of(upstream string, at place.Site, connections int, members []Member, self string) Share {
+	free := max(connections-reserved, 1)
+	if len(members) == 0 {
+		return Share{Quota: 1}
+	}
+	if even := free / len(members); even >= enough {
+		return Share{Quota: even}
+	}
+	homes := homesOf(upstream, at, max(leastHomes, free/perHome), members)
+	sh := Share{}
+	for _, me := range homes {
+		if me.Name == self {
+			sh.Quota = max(1, free/len(homes))
+		}
+		sh.Homes = append(sh.Homes, me.Address)
+	}
+	return sh
+}
+
+// homesOf returns the homes of an upstream: members of its failure domain by
+// weighted rendezvous hashing, then others of its region, then any.
+func homesOf(upstream string, at place.Site, count int, members []Member) []Member {
+	type scored struct {
+		member Member
+		tier   int
+		score  float64
+	}
+	all := make([]scored, 0, len(members))
+	for _, me := range members {
+		tier := 2
+		switch {
+		case me.Site.Domain == at.Domain:
+			tier = 0
+		case me.Site.Region == at.Region:
+			tier = 1
+		}
+		all = append(all, scored{member: me, tier: tier, score: score(upstream, me)})
+	}
+	slices.SortFunc(all, func(left, right scored) int {
+		if ord := cmp.Compare(left.tier, right.tier); ord != 0 {
+			return ord
+		}
+		return cmp.Compare(right.score, left.score)
+	})
+	out := make([]Member, 0, count)
+	for _, sc := range all[:min(count, len(all))] {
+		out = append(out, sc.member)
+	}
+	return out
+}
+
+// score is the member's draw for the upstream; the chance to have the highest
+// is proportional to the weight.
+func score(upstream string, me Member) float64 {
+	dig := xxhash.New()
+	_, _ = dig.WriteString(upstream)
+	_, _ = dig.Write([]byte{0})
+	_, _ = dig.WriteString(me.Name)
+	const halfULP = 0.5
+	unit := (float64(dig.Sum64()>>11) + halfULP) / (1 << 53)
+	return -max(me.Weight, math.SmallestNonzeroFloat64) / math.Log(unit)
+}
--- a/core/vars/vars.go
+++ b/core/vars/vars.go
@@ -58,6 +58,24 @@
 	return se
 }
 
+// Values returns names and values in turn, ordered by name.
+func (se Session) Values() []string {
+	out := make([]string, 0, 2*len(se.values))
+	for _, va := range se.values {
+		out = append(out, va.name, va.value)
+	}
+	return out
+}
+
+// FromValues returns a session with what Values returned, and no plans.
+func FromValues(list []string) Session {
+	var se Session
+	for pos := 0; pos+1 < len(list); pos += 2 {
+		se.values = append(se.values, value{name: list[pos], value: list[pos+1]})
+	}
+	return se
+}
+
 // WithPlan returns a session with the plan prepared; it replaces one of the
 // same name.
 func (se Session) WithPlan(pl Plan) Session {
--- a/io/engine/engine.go
+++ b/io/engine/engine.go
@@ -11,6 +11,7 @@
 	"banyanspring/core/evid"
 	"banyanspring/core/group"
 	"banyanspring/core/place"
+	"banyanspring/core/share"
 	"banyanspring/io/pool"
 )
 
@@ -27,9 +28,8 @@
 // Seams are what the engine needs from outside.
 type Seams struct {
 	Now func() time.Time
-	// Quota returns how many connections this instance may have to an upstream
-	// of the group.
-	Quota func(gr catlg.Group) int
+	// Share returns this instance's share of an upstream's connections.
+	Share func(up group.Upstream, gr catlg.Group) share.Share
 	Pool  pool.Seams
 }
 
@@ -97,7 +97,8 @@
 			up = nil
 		}
 		if up == nil {
-			up = newUpstream(info, pool.New(info, en.quota(info.Group), en.settings.Pool, en.seams.Pool))
+			up = newUpstream(info, pool.New(info, en.settings.Pool, en.seams.Pool))
+			en.applyShare(up)
 			en.upstreams[info.ID] = up
 		}
 		up.info.Store(&info)
@@ -132,16 +133,18 @@
 	en.groups.Store(&next)
 }
 
-// quota returns the connections allowed to an upstream of the group.
-func (en *Engine) quota(name string) int {
-	gr, ok := en.catalog.Current().GetGroupByName(name)
+// applyShare gives the upstream's pool this instance's share.
+func (en *Engine) applyShare(up *upstream) {
+	info := *up.info.Load()
+	gr, ok := en.catalog.Current().GetGroupByName(info.Group)
 	if !ok {
-		return 0
+		return
 	}
-	return en.seams.Quota(gr)
+	sh := en.seams.Share(info, gr)
+	up.pool.SetShare(sh.Quota, sh.Homes)
 }
 
-// Maintain applies changed quotas and closes unused connections. It is called
+// Maintain applies changed shares and closes unused connections. It is called
 // every second or so.
 func (en *Engine) Maintain() {
 	en.mu.Lock()
@@ -151,9 +154,20 @@
 	}
 	en.mu.Unlock()
 	for _, up := range ups {
-		up.pool.SetQuota(en.quota(up.info.Load().Group))
+		en.applyShare(up)
 		up.pool.Sweep()
 	}
+	en.seams.Pool.Relays.Sweep(en.settings.Pool.IdleTimeout)
+}
+
+// GetPoolByUpstream finds the pool of an upstream; nil if it is not known.
+func (en *Engine) GetPoolByUpstream(id string) *pool.Pool {
+	en.mu.Lock()
+	defer en.mu.Unlock()
+	if up := en.upstreams[id]; up != nil {
+		return up.pool
+	}
+	return nil
 }
 
 func (en *Engine) group(name string) *groupState { return (*en.groups.Load())[name] }
--- a/io/engine/pick.go
+++ b/io/engine/pick.go
@@ -75,7 +75,7 @@
 	var best *upstream
 	var bestCost time.Duration
 	for _, up := range tr.gr.all() {
-		if tr.attempts[up] > 0 || up.isAvoided(now) || up.info.Load().Leaving || up.pool.Quota() == 0 {
+		if tr.attempts[up] > 0 || up.isAvoided(now) || up.info.Load().Leaving {
 			continue
 		}
 		if up.isBehind(fl.position, now) {
@@ -100,7 +100,7 @@
 	slots := max(info.Slots, 1)
 	running, waiting := up.pool.Load()
 	queued := int(up.pending.Load()) + waiting
-	if running >= up.pool.Quota() {
+	if running >= up.pool.Room() {
 		queued++
 	}
 	cost := latency + latency*time.Duration(queued)/time.Duration(slots)
--- a/io/engine/seek.go
+++ b/io/engine/seek.go
@@ -4,8 +4,11 @@
 	"sync"
 	"time"
 
+	"github.com/cockroachdb/errors"
+
 	"banyanspring/core/codes"
 	"banyanspring/core/stmt"
+	"banyanspring/io/pool"
 )
 
 // probeTimeout bounds the question whether a member leads. The answer takes no
@@ -50,10 +53,13 @@
 		return false
 	}
 	asked := en.seams.Now()
-	results, err := co.Exchange(lead, deadline)
+	results, err := co.Run(pool.Batch{Statements: lead, AnyVars: true}, deadline)
 	if err != nil {
 		up.pool.Discard(co)
-		up.failed(en.seams.Now())
+		var ref *codes.Refusal
+		if !errors.As(err, &ref) {
+			up.failed(en.seams.Now())
+		}
 		return false
 	}
 	if results[1].State == stmt.Idle {
--- a/io/engine/single.go
+++ b/io/engine/single.go
@@ -115,7 +115,7 @@
 	}
 	pause := time.Duration(0)
 	switch ref.Code {
-	case codes.QueueFull, codes.ConnectionsInUse:
+	case codes.QueueFull, codes.ConnectionsInUse, codes.PeerUnreached, codes.NotHome:
 		pause = min(busyPause<<(times-1), busyPauseMost)
 	case codes.UpstreamUnreached, codes.UpstreamReplaced:
 		up.failed(tr.en.seams.Now())
@@ -152,26 +152,17 @@
 	if err != nil {
 		return stmt.Result{}, codes.From(err)
 	}
-	ahead, st := prepared(co, tr.rq)
-	sts := append(ahead, st)
 	asked := tr.en.seams.Now()
 	done := up.begin(tr.en.seams.Now)
-	results, err := co.Exchange(sts, tr.rq.deadline)
+	results, err := co.Run(tr.rq.batch(false, tr.rq.st), tr.rq.deadline)
 	done(err == nil)
 	if err != nil {
 		up.pool.Discard(co)
-		up.failed(tr.en.seams.Now())
-		if errors.Is(err, pool.ErrNotSent) {
-			return stmt.Result{}, codes.Refuse(codes.UpstreamUnreached, "%v", err)
-		}
-		if errors.Is(err, os.ErrDeadlineExceeded) {
-			up.stalled(tr.en.seams.Now())
-		}
-		return stmt.Result{}, codes.Refuse(codes.OutcomeUnknown, "%s: %v", up.id(), err)
+		return stmt.Result{}, tr.broken(up, err, false)
 	}
 	up.succeeded()
-	res := results[len(results)-1]
-	tr.giveBack(up, co, results[:len(results)-1], res)
+	res := results[0]
+	tr.giveBack(up, co, res)
 	if res.Code != codes.OK {
 		return stmt.Result{}, tr.refusedAt(up, res)
 	}
@@ -185,26 +176,33 @@
 	return up.pool.Acquire(tr.rq.session.database, 1, tr.rq.deadline)
 }
 
-// prepared returns the request's statement as the connection knows it, and what
-// has to go before it.
-func prepared(co *pool.Conn, rq *request) (ahead []stmt.Statement, st stmt.Statement) {
-	ahead = co.Vars.Align(rq.session.vars)
-	if rq.st.Kind != stmt.Execute {
-		return ahead, rq.st
+// batch returns statements with the request's values and plan. Keep is true if
+// a transaction stays open behind them.
+func (rq *request) batch(keep bool, sts ...stmt.Statement) pool.Batch {
+	return pool.Batch{Vars: rq.session.vars, Plan: rq.plan, Statements: sts, Keep: keep}
+}
+
+// broken turns an error of a connection into a refusal; isSafe is true if the
+// statements leave nothing behind unless they are followed by others.
+func (tr *try) broken(up *upstream, err error, isSafe bool) *codes.Refusal {
+	var ref *codes.Refusal
+	if errors.As(err, &ref) {
+		// A home refused the batch; the upstream is not to blame.
+		return ref
+	}
+	up.failed(tr.en.seams.Now())
+	if isSafe || errors.Is(err, pool.ErrNotSent) {
+		return codes.Refuse(codes.UpstreamUnreached, "%s: %v", up.id(), err)
+	}
+	if errors.Is(err, os.ErrDeadlineExceeded) {
+		up.stalled(tr.en.seams.Now())
 	}
-	st, lacking := co.Vars.Bind(rq.st, rq.plan)
-	return append(ahead, lacking...), st
+	return codes.Refuse(codes.OutcomeUnknown, "%s: %v", up.id(), err)
 }
 
 // giveBack returns a connection after its answers; it is closed if its state is
 // not what it should be.
-func (tr *try) giveBack(up *upstream, co *pool.Conn, ahead []stmt.Result, last stmt.Result) {
-	for _, res := range ahead {
-		if res.Code != codes.OK {
-			up.pool.Discard(co)
-			return
-		}
-	}
+func (tr *try) giveBack(up *upstream, co *pool.Conn, last stmt.Result) {
 	if last.State != stmt.Idle || last.Code == codes.UnknownStatement {
 		up.pool.Discard(co)
 		return
@@ -250,35 +248,33 @@
 	if err != nil {
 		return stmt.Result{}, codes.From(err)
 	}
-	ahead, st := prepared(co, tr.rq)
 	if fl.atLeader {
-		return tr.readInside(up, co, ahead, st)
+		return tr.readInside(up, co)
 	}
+	st := tr.rq.st
 	st.Floor = fl.position
-	results, ref := tr.exchange(up, co, append(ahead, st))
+	results, ref := tr.run(up, co, tr.rq.batch(false, st))
 	if ref != nil {
 		return stmt.Result{}, ref
 	}
-	res := results[len(results)-1]
-	tr.giveBack(up, co, results[:len(results)-1], res)
-	if res.Code != codes.OK {
-		return stmt.Result{}, tr.refusedAt(up, res)
+	tr.giveBack(up, co, results[0])
+	if results[0].Code != codes.OK {
+		return stmt.Result{}, tr.refusedAt(up, results[0])
 	}
-	up.noteApplied(res.Position)
+	up.noteApplied(results[0].Position)
 	tr.en.Counts.Replica.Add(1)
-	return res, nil
+	return results[0], nil
 }
 
-// exchange runs statements of a read that may run again elsewhere. After a
-// refusal the connection is closed.
-func (tr *try) exchange(up *upstream, co *pool.Conn, sts []stmt.Statement) ([]stmt.Result, *codes.Refusal) {
+// run runs statements that may run again elsewhere. After a refusal the
+// connection is closed.
+func (tr *try) run(up *upstream, co *pool.Conn, ba pool.Batch) ([]stmt.Result, *codes.Refusal) {
 	done := up.begin(tr.en.seams.Now)
-	results, err := co.Exchange(sts, tr.readDeadline(tr.en.seams.Now()))
+	results, err := co.Run(ba, tr.readDeadline(tr.en.seams.Now()))
 	done(err == nil)
 	if err != nil {
 		up.pool.Discard(co)
-		up.failed(tr.en.seams.Now())
-		return nil, codes.Refuse(codes.UpstreamUnreached, "%s: %v", up.id(), err)
+		return nil, tr.broken(up, err, true)
 	}
 	up.succeeded()
 	return results, nil
@@ -287,22 +283,17 @@
 // open opens a transaction at an upstream, and waits for the answer: what
 // follows an opening that failed would run outside a transaction. After a
 // refusal the connection is given back or closed.
-func (tr *try) open(up *upstream, co *pool.Conn, ahead []stmt.Statement, begin stmt.Statement) (stmt.Result, *codes.Refusal) {
+func (tr *try) open(up *upstream, co *pool.Conn, begin stmt.Statement) (stmt.Result, *codes.Refusal) {
 	asked := tr.en.seams.Now()
-	results, err := co.Exchange(append(ahead, begin), tr.readDeadline(asked))
+	results, err := co.Run(tr.rq.batch(true, begin), tr.readDeadline(asked))
 	if err != nil {
 		up.pool.Discard(co)
-		up.failed(tr.en.seams.Now())
-		return stmt.Result{}, codes.Refuse(codes.UpstreamUnreached, "%s: %v", up.id(), err)
+		return stmt.Result{}, tr.broken(up, err, true)
 	}
 	up.succeeded()
-	last := len(results) - 1
-	res := results[last]
-	if pool.FirstFailure(results).Code != codes.OK || res.State != stmt.Open {
-		tr.giveBack(up, co, results[:last], res)
-		if res.Code == codes.OK {
-			return res, codes.Refuse(codes.UpstreamUnreached, "%s: %s", up.id(), pool.FirstFailure(results).Detail)
-		}
+	res := results[0]
+	if res.Code != codes.OK {
+		tr.giveBack(up, co, res)
 		return res, tr.refusedAt(up, res)
 	}
 	up.noteApplied(res.Position)
@@ -313,17 +304,17 @@
 }
 
 // readInside runs the read in a transaction of its own at the leader.
-func (tr *try) readInside(up *upstream, co *pool.Conn, ahead []stmt.Statement, st stmt.Statement) (stmt.Result, *codes.Refusal) {
-	opened, ref := tr.open(up, co, ahead, stmt.Statement{Kind: stmt.Begin})
+func (tr *try) readInside(up *upstream, co *pool.Conn) (stmt.Result, *codes.Refusal) {
+	opened, ref := tr.open(up, co, stmt.Statement{Kind: stmt.Begin})
 	if ref != nil {
 		return stmt.Result{}, ref
 	}
-	results, ref := tr.exchange(up, co, []stmt.Statement{st, {Kind: stmt.Rollback}})
+	results, ref := tr.run(up, co, tr.rq.batch(false, tr.rq.st, stmt.Statement{Kind: stmt.Rollback}))
 	if ref != nil {
 		return stmt.Result{}, ref
 	}
 	res := results[0]
-	tr.giveBack(up, co, nil, results[1])
+	tr.giveBack(up, co, results[1])
 	if res.Code != codes.OK {
 		return stmt.Result{}, tr.refusedAt(up, res)
 	}
--- a/io/engine/trans.go
+++ b/io/engine/trans.go
@@ -85,11 +85,10 @@
 	if !fl.atLeader {
 		begin = stmt.Statement{Kind: stmt.BeginRead, Floor: fl.position}
 	}
-	ahead, st := prepared(co, tr.rq)
-	if _, ref := tr.open(up, co, ahead, begin); ref != nil {
+	if _, ref := tr.open(up, co, begin); ref != nil {
 		return stmt.Result{}, ref
 	}
-	results, ref := tr.exchange(up, co, []stmt.Statement{st})
+	results, ref := tr.run(up, co, tr.rq.batch(true, tr.rq.st))
 	if ref != nil {
 		return stmt.Result{}, ref
 	}
@@ -129,9 +128,8 @@
 	wroteBefore := tx.wrote
 	tx.wrote = tx.wrote || rq.st.IsWrite()
 	for pause := busyPause; ; pause = min(2*pause, busyPauseMost) {
-		ahead, st := prepared(tx.conn, rq)
 		done := tx.up.begin(tx.en.seams.Now)
-		results, err := tx.conn.Exchange(append(ahead, st), rq.deadline)
+		results, err := tx.conn.Run(rq.batch(true, rq.st), rq.deadline)
 		done(err == nil)
 		if err != nil {
 			tx.up.failed(tx.en.seams.Now())
@@ -145,7 +143,7 @@
 			}
 			return stmt.Result{}, codes.Refuse(codes.TransactionLost, "%s: %v", tx.up.id(), err)
 		}
-		res := pool.FirstFailure(results)
+		res := results[0]
 		if res.Code == codes.OK {
 			tx.settle(rq, res)
 			return res, nil
@@ -185,7 +183,8 @@
 const rollbackTimeout = time.Second
 
 func rollBack(up *upstream, co *pool.Conn, now time.Time) {
-	results, err := co.Exchange([]stmt.Statement{{Kind: stmt.Rollback}}, now.Add(rollbackTimeout))
+	ba := pool.Batch{Statements: []stmt.Statement{{Kind: stmt.Rollback}}, AnyVars: true}
+	results, err := co.Run(ba, now.Add(rollbackTimeout))
 	if err != nil || results[0].Code != codes.OK || results[0].State != stmt.Idle {
 		up.pool.Discard(co)
 		return
--- a/io/member/follow.go
+++ b/io/member/follow.go
@@ -35,7 +35,7 @@
 	for ctx.Err() == nil {
 		asked := fo.me.seams.Now()
 		isFirst := fo.me.roster.isHolder()
-		if !isFirst && asked.Sub(fo.confirmedAt.load()) < fo.freshFor {
+		if !isFirst && fo.isFresh(asked) {
 			isKnown = false
 			delay.Pause(ctx, freshTick)
 			continue
@@ -58,6 +58,17 @@
 	}
 }
 
+// isFresh reports whether the store need not be asked. At the start the word of
+// another member is waited for, if one is known.
+func (fo *follower) isFresh(now time.Time) bool {
+	at := fo.confirmedAt.load()
+	if !at.IsZero() {
+		return now.Sub(at) < fo.freshFor
+	}
+	_, hasSource := fo.me.roster.source()
+	return hasSource && now.Sub(fo.me.started) < startWait
+}
+
 // followCatalog keeps the configuration in force up to date.
 func (me *Member) followCatalog(ctx context.Context) {
 	fo := &follower{me: me, what: "configuration", confirmedAt: &me.catalogAt, freshFor: me.settings.ApplyBound * freshShare / 100}
--- a/io/member/guard.go
+++ b/io/member/guard.go
@@ -203,7 +203,8 @@
 	defer gu.mu.Unlock()
 	po := gu.pools[up.ID]
 	if po == nil {
-		po = pool.New(up, 1, guardPool, pool.Seams{Now: gu.me.seams.Now, Dial: gu.me.seams.Dial, Codec: gu.me.seams.Codec})
+		po = pool.New(up, guardPool, pool.Seams{Now: gu.me.seams.Now, Dial: gu.me.seams.Dial, Codec: gu.me.seams.Codec})
+		po.SetShare(1, nil)
 		gu.pools[up.ID] = po
 	}
 	return po
--- a/io/member/member.go
+++ b/io/member/member.go
@@ -31,6 +31,10 @@
 	CallerAddress string
 	// PeerAddress serves the other members, "ip:port".
 	PeerAddress string
+	// RelayAddress serves the batches that the other members relay, "ip:port".
+	RelayAddress string
+	// Weight is the instance's size; any unit will do.
+	Weight float64
 	// Grace is the time from the order to leave to the forced end.
 	Grace time.Duration
 	// ApplyBound is the time within which a configuration must be in force.
@@ -75,6 +79,8 @@
 	listener net.Listener
 	// catalogAt and listingAt are when the store last confirmed what is known.
 	catalogAt, listingAt instant
+	// started is when the member was made.
+	started time.Time
 	// isListed is true once the upstreams were listed.
 	isListed atomic.Bool
 
@@ -84,7 +90,7 @@
 
 // New returns a member that does not run yet.
 func New(se Settings, sm Seams, lg *slog.Logger) *Member {
-	me := &Member{settings: se, seams: sm, log: lg, catalog: catlg.NewKeeper()}
+	me := &Member{settings: se, seams: sm, log: lg, catalog: catlg.NewKeeper(), started: sm.Now()}
 	me.life = life.New(nil)
 	me.roster = newRoster(me)
 	me.peers = newPeers(me)
@@ -94,8 +100,10 @@
 		engine.Settings{Site: se.Site, RegionOf: se.RegionOf, Pool: poolSettings},
 		engine.Seams{
 			Now:   sm.Now,
-			Quota: me.quota,
-			Pool:  pool.Seams{Now: sm.Now, Dial: sm.Dial, Codec: sm.Codec},
+			Share: me.share,
+			Pool: pool.Seams{
+				Now: sm.Now, Dial: sm.Dial, Codec: sm.Codec, Relays: pool.NewRelays(sm.Now, sm.Dial),
+			},
 		},
 		sm.Dialect, me.catalog, lg)
 	return me
@@ -135,6 +143,9 @@
 	confirmShare = 27
 	// freshTick is the time between two looks at that.
 	freshTick = 200 * time.Millisecond
+	// startWait is how long a member that knows another waits at its start for
+	// that one's word before it asks the store itself.
+	startWait = 700 * time.Millisecond
 	// listingPause is kept between two answers of the listing's watch: each
 	// upstream writes every second, and a call costs more than its events.
 	listingPause = 600 * time.Millisecond
@@ -158,6 +169,9 @@
 	if err := me.peers.serve(); err != nil {
 		return err
 	}
+	if err := me.serveRelays(); err != nil {
+		return err
+	}
 	go me.accept()
 	go me.followCatalog(ctx)
 	go me.followListing(ctx)
@@ -183,6 +197,25 @@
 	}
 }
 
+// serveRelays runs the batches of other members on the connections here.
+func (me *Member) serveRelays() error {
+	ln, err := net.Listen("tcp", me.settings.RelayAddress)
+	if err != nil {
+		return errors.Wrap(err, "listen for relays")
+	}
+	go func() {
+		for {
+			raw, err := ln.Accept()
+			if err != nil {
+				event.Log(me.log, event.PluginFailed, "error", err)
+				return
+			}
+			go pool.ServeRelay(raw, me.seams.Now, me.engine.GetPoolByUpstream)
+		}
+	}()
+	return nil
+}
+
 // tick does what is due again and again.
 func (me *Member) tick(ctx context.Context) {
 	maintainAt := me.seams.Now()
@@ -194,6 +227,7 @@
 		}
 		maintainAt = now.Add(maintainTick)
 		me.engine.Maintain()
+		go me.roster.prune(ctx)
 	}
 }
 
--- a/io/member/peer.go
+++ b/io/member/peer.go
@@ -56,6 +56,7 @@
 	From     string `json:"from"`
 	Catalog  uint64 `json:"catalog"`
 	Listing  uint64 `json:"listing"`
+	Members  uint64 `json:"members"`
 	Opinions []word `json:"opinions"`
 }
 
@@ -69,6 +70,10 @@
 	ListingMs int64 `json:"listing_ms,omitempty"`
 	// Listing is nil if the asker's is as new.
 	Listing *listing `json:"listing,omitempty"`
+	// Members is the list of members at MembersAt; nil if the asker's is as new.
+	Members   []Object `json:"members,omitempty"`
+	MembersAt uint64   `json:"members_at,omitempty"`
+	MembersMs int64    `json:"members_ms,omitempty"`
 	// Evidence is the newest evidence on each group's leader.
 	Evidence []word `json:"evidence"`
 }
@@ -134,6 +139,8 @@
 		ListingMs: ageMs(me.listingAt.load(), now),
 		Evidence:  me.evidence(now),
 	}
+	re.Members, re.MembersAt = me.roster.objects(qu.Members)
+	re.MembersMs = ageMs(me.roster.confirmedAt.load(), now)
 	if ca := me.catalog.Current(); ca.Version > qu.Catalog {
 		doc := ca.Document()
 		re.Catalog = &doc
@@ -194,7 +201,10 @@
 	me.mu.Lock()
 	revision := me.view.Revision
 	me.mu.Unlock()
-	qu := question{From: me.settings.Name, Catalog: me.catalog.Current().Version, Listing: revision, Opinions: me.words(asked)}
+	qu := question{
+		From: me.settings.Name, Catalog: me.catalog.Current().Version, Listing: revision, Members: me.roster.revisionKnown(),
+		Opinions: me.words(asked),
+	}
 	var re reply
 	err := ps.post(ctx, "http://"+source.Address+exchangePath, qu, &re)
 	me.roster.answered(source, err, me.seams.Now())
@@ -245,6 +255,12 @@
 		me.isListed.Store(true)
 		me.noteReady()
 	}
+	if re.Members != nil {
+		me.roster.replace(re.Members, re.MembersAt)
+	}
+	if re.MembersMs > 0 {
+		me.roster.confirmedAt.raise(asked.Add(-millis(re.MembersMs)))
+	}
 	if re.ListingMs > 0 {
 		me.listingAt.raise(asked.Add(-millis(re.ListingMs)))
 	}
--- a/io/member/roster.go
+++ b/io/member/roster.go
@@ -12,6 +12,9 @@
 
 	"banyanspring/core/catlg"
 	"banyanspring/core/event"
+	"banyanspring/core/group"
+	"banyanspring/core/place"
+	"banyanspring/core/share"
 	"banyanspring/io/delay"
 )
 
@@ -25,6 +28,10 @@
 	Address string `json:"address"`
 	Domain  string `json:"domain"`
 	Region  string `json:"region"`
+	// Relay serves the batches that other members relay, "ip:port".
+	Relay string `json:"relay"`
+	// Weight is the instance's size.
+	Weight float64 `json:"weight"`
 	// Started tells the lives of one name apart.
 	Started int64 `json:"started"`
 	// Draws counts how often the member asked for a newer token.
@@ -53,13 +60,23 @@
 	mu      sync.Mutex
 	members map[string]*known
 	self    entry
+	// shared holds the members that share connections; nil if it is to be made
+	// anew. It is never changed in place.
+	shared []share.Member
+	// listed is the revision of the list of members.
+	listed uint64
 	// revision is that of the own object; 0 if it does not exist.
 	revision uint64
 	// isTold is true once the own object holds self.
 	isTold bool
 	// isLeaving is true once this member is to be taken out.
 	isLeaving bool
-	// wake ends the wait for changes, so that the own object is written.
+	// firstSince is since when this member is the first of its domain; zero if
+	// it is not.
+	firstSince time.Time
+	// confirmedAt is when the store last confirmed the list.
+	confirmedAt instant
+	// wake has the own object looked at.
 	wake chan struct{}
 }
 
@@ -67,6 +84,8 @@
 	self := entry{
 		Name:    me.settings.Name,
 		Address: me.settings.PeerAddress,
+		Relay:   me.settings.RelayAddress,
+		Weight:  me.settings.Weight,
 		Domain:  me.settings.Site.Domain,
 		Region:  me.settings.Site.Region,
 		Started: time.Now().UnixNano(),
@@ -76,24 +95,45 @@
 
 // follow tells the store of this member and learns of the others.
 func (ro *roster) follow(ctx context.Context) {
-	var since uint64
-	known := false
-	he := &health{me: ro.me, what: "members"}
+	go ro.keepTold(ctx)
+	fo := &follower{
+		me: ro.me, what: "members", confirmedAt: &ro.confirmedAt, read: ro.read, await: ro.await,
+		pause: membersPause, freshFor: membersFresh,
+	}
+	fo.run(ctx)
+}
+
+const (
+	// membersPause is kept between two answers of the members' watch.
+	membersPause = 500 * time.Millisecond
+	// membersFresh is how long what is known of the members counts as fresh.
+	membersFresh = 5 * time.Second
+	// membersWait is how long the first member's watch of the members waits.
+	membersWait = 2 * time.Second
+)
+
+// keepTold writes the own object whenever it does not hold what it should.
+func (ro *roster) keepTold(ctx context.Context) {
 	for ctx.Err() == nil {
-		err := ro.tell(ctx)
-		if err == nil && known {
-			since, err = ro.await(ctx, since)
-		} else if err == nil {
-			since, err = ro.read(ctx)
-		}
-		known = err == nil
-		he.note(err)
-		if err != nil {
+		if err := ro.tell(ctx); err != nil {
 			delay.Pause(ctx, retryPause)
+			continue
+		}
+		select {
+		case <-ro.wake:
+		case <-ctx.Done():
 		}
 	}
 }
 
+// prod has the own object looked at.
+func (ro *roster) prod() {
+	select {
+	case ro.wake <- struct{}{}:
+	default:
+	}
+}
+
 // tell writes the own object if it does not hold what it should.
 func (ro *roster) tell(ctx context.Context) error {
 	ro.mu.Lock()
@@ -138,38 +178,35 @@
 	if err != nil {
 		return 0, err
 	}
+	ro.replace(objs, revision)
+	return revision, nil
+}
+
+// replace takes the whole list of members at a revision.
+func (ro *roster) replace(objs []Object, revision uint64) {
 	ro.mu.Lock()
 	defer ro.mu.Unlock()
+	if revision < ro.listed {
+		return
+	}
+	ro.listed = revision
 	listed := make(map[string]bool, len(objs))
 	for _, obj := range objs {
 		ro.note(obj)
 		listed[obj.Name] = true
 	}
-	for name := range ro.members {
-		if !listed[name] {
+	for name, kn := range ro.members {
+		// The own object may have been written after the list was read.
+		if !listed[name] && kn.token <= revision {
 			ro.forget(name)
 		}
 	}
 	ro.changed()
-	return revision, nil
 }
 
-// await waits for changes of the members; a wish to write the own object ends
-// it.
+// await waits for changes of the members.
 func (ro *roster) await(ctx context.Context, since uint64) (uint64, error) {
-	ctx, cancel := context.WithCancel(ctx)
-	defer cancel()
-	go func() {
-		select {
-		case <-ro.wake:
-			cancel()
-		case <-ctx.Done():
-		}
-	}()
-	events, revision, err := ro.me.seams.Store.Await(ctx, kindMember, since, watchWait)
-	if err != nil && ctx.Err() != nil {
-		return since, nil
-	}
+	events, revision, err := ro.me.seams.Store.Await(ctx, kindMember, since, membersWait)
 	if err != nil {
 		return since, err
 	}
@@ -182,12 +219,113 @@
 		}
 		ro.note(ev.Object)
 	}
+	ro.listed = max(ro.listed, revision)
 	if len(events) > 0 {
 		ro.changed()
 	}
 	return revision, nil
 }
 
+// objects returns the list of members for another member, if it is newer than
+// the revision given.
+func (ro *roster) objects(than uint64) ([]Object, uint64) {
+	ro.mu.Lock()
+	defer ro.mu.Unlock()
+	if ro.listed <= than {
+		return nil, ro.listed
+	}
+	out := make([]Object, 0, len(ro.members))
+	for name, kn := range ro.members {
+		raw, err := json.Marshal(kn.entry)
+		if err != nil {
+			continue
+		}
+		out = append(out, Object{Name: name, Revision: kn.token, Value: raw})
+	}
+	return out, ro.listed
+}
+
+// revisionKnown returns the revision of the list of members.
+func (ro *roster) revisionKnown() uint64 {
+	ro.mu.Lock()
+	defer ro.mu.Unlock()
+	return ro.listed
+}
+
+// silent returns the tokens of members that this one is to take out of the
+// store: the first member of a failure domain looks after the domain, since the
+// others of it exchange with that one, and the first member of all after
+// domains from which nobody is heard.
+func (ro *roster) silent(now time.Time) map[string]uint64 {
+	ro.mu.Lock()
+	defer ro.mu.Unlock()
+	ranked := ro.ranked()
+	isFirst := len(ranked) > 0 && ranked[0].entry.Name == ro.self.Name
+	if !ro.isFirstOfDomain(ranked) {
+		ro.firstSince = time.Time{}
+		return nil
+	}
+	if ro.firstSince.IsZero() {
+		ro.firstSince = now
+	}
+	if now.Sub(ro.firstSince) <= silentFor {
+		return nil
+	}
+	heard := make(map[string]time.Time)
+	for _, kn := range ro.members {
+		if kn.heardAt.After(heard[kn.entry.Domain]) {
+			heard[kn.entry.Domain] = kn.heardAt
+		}
+	}
+	out := make(map[string]uint64)
+	for name, kn := range ro.members {
+		isDomainLost := isFirst && now.Sub(heard[kn.entry.Domain]) > 2*silentFor
+		isMine := kn.entry.Domain == ro.self.Domain && now.Sub(kn.heardAt) > silentFor
+		if name != ro.self.Name && (isMine || isDomainLost) {
+			out[name] = kn.token
+		}
+	}
+	return out
+}
+
+// isFirstOfDomain reports whether this member is the first of its failure
+// domain; mu is held.
+func (ro *roster) isFirstOfDomain(ranked []*known) bool {
+	for _, kn := range ranked {
+		if kn.entry.Domain == ro.self.Domain {
+			return kn.entry.Name == ro.self.Name
+		}
+	}
+	return false
+}
+
+// silentFor is how long a member may be silent before it is taken out of the
+// store and its share of the connections goes to others. It is longer than
+// instances take to restart.
+const silentFor = 8 * time.Second
+
+// prune takes silent members out of the store.
+func (ro *roster) prune(ctx context.Context) {
+	for name, token := range ro.silent(ro.me.seams.Now()) {
+		callCtx, cancel := context.WithTimeout(ctx, callTimeout)
+		err := ro.me.seams.Store.Delete(callCtx, kindMember, name, token)
+		cancel()
+		event.Log(ro.me.log, event.PeerRemoved, "peer", name, "token", token, "error", errText(err))
+		if err == nil {
+			ro.mu.Lock()
+			ro.forget(name)
+			ro.mu.Unlock()
+		}
+	}
+}
+
+func errText(err error) string {
+	if err == nil {
+		return ""
+	}
+	return err.Error()
+}
+
 // note takes one member's object; mu is held.
 func (ro *roster) note(obj Object) {
 	var en entry
@@ -198,18 +336,22 @@
 	if old := ro.members[obj.Name]; old != nil && old.token == obj.Revision {
 		return
 	}
+	ro.shared = nil
 	ro.members[obj.Name] = &known{entry: en, token: obj.Revision, heardAt: ro.me.seams.Now()}
 	if en.Name == ro.self.Name && en != ro.self && !ro.isLeaving {
 		// A late write of an earlier life has replaced the own object.
 		ro.isTold, ro.revision = false, obj.Revision
+		ro.prod()
 	}
 }
 
 // forget drops a member; mu is held.
 func (ro *roster) forget(name string) {
 	delete(ro.members, name)
+	ro.shared = nil
 	if name == ro.self.Name {
 		ro.isTold, ro.revision = false, 0
+		ro.prod()
 	}
 }
 
@@ -243,10 +385,7 @@
 	}
 	ro.self.Draws++
 	ro.isTold = false
-	select {
-	case ro.wake <- struct{}{}:
-	default:
-	}
+	ro.prod()
 }
 
 // heard notes that a member is there.
@@ -347,14 +486,6 @@
 	return len(ranked) > 0 && ranked[0].entry.Name == ro.self.Name
 }
 
-// size returns how many members share the connections, and false if that is
-// not known yet.
-func (ro *roster) size() (int, bool) {
-	ro.mu.Lock()
-	defer ro.mu.Unlock()
-	return len(ro.members), len(ro.members) > 0
-}
-
 // leave takes this member out of the store.
 func (ro *roster) leave(ctx context.Context) {
 	ro.mu.Lock()
@@ -371,19 +502,26 @@
 	}
 }
 
-const (
-	// reserved connections to each upstream are shared out to nobody: the
-	// duty's holder and its stand-in need one each.
-	reserved = 2
-	// quotaUnknown is the share of a member that knows no other.
-	quotaUnknown = 1
-)
+// share returns this member's share of an upstream's connections.
+func (me *Member) share(up group.Upstream, gr catlg.Group) share.Share {
+	at := place.Site{Domain: up.Domain, Region: me.settings.RegionOf[up.Domain]}
+	return share.Of(up.ID, at, gr.Connections, me.roster.sharers(), me.settings.Name)
+}
 
-// quota returns this member's share of the connections to each upstream.
-func (me *Member) quota(gr catlg.Group) int {
-	members, ok := me.roster.size()
-	if !ok {
-		return quotaUnknown
+// sharers returns all members, by name. Those that do not answer are among
+// them until they are taken out of the store, so that all members agree.
+func (ro *roster) sharers() []share.Member {
+	ro.mu.Lock()
+	defer ro.mu.Unlock()
+	if ro.shared == nil {
+		ro.shared = make([]share.Member, 0, len(ro.members))
+		for _, kn := range ro.members {
+			ro.shared = append(ro.shared, share.Member{
+				Name: kn.entry.Name, Address: kn.entry.Relay, Weight: kn.entry.Weight,
+				Site: place.Site{Domain: kn.entry.Domain, Region: kn.entry.Region},
+			})
+		}
+		slices.SortFunc(ro.shared, func(left, right share.Member) int { return cmp.Compare(left.Name, right.Name) })
 	}
-	return max(1, (gr.Connections-reserved)/members)
+	return ro.shared
 }
--- a/io/member/store.go
+++ b/io/member/store.go
@@ -16,9 +16,9 @@
 
 // Object is one of the system's own objects in the store.
 type Object struct {
-	Name     string
-	Revision uint64
-	Value    json.RawMessage
+	Name     string          `json:"name"`
+	Revision uint64          `json:"revision"`
+	Value    json.RawMessage `json:"value"`
 }
 
 // Event is one change of the system's own objects.
--- a/io/pool/conn.go
+++ b/io/pool/conn.go
@@ -37,10 +37,14 @@
 	net  net.Conn
 	rd   *bufio.Reader
 	buf  []byte
-	// Vars is what the connection holds of values and plans.
-	Vars     vars.Conn
+	// vars is what the connection holds of values and plans.
+	vars     vars.Conn
 	lastUsed time.Time
-	release  func()
+	// relay is set if the connection leads through a home, and net is nil then.
+	relay *relay
+	// caller is who waits for the home's connections.
+	caller  string
+	release func()
 	// raw is nil for connections that are not TCP.
 	raw syscall.RawConn
 }
--- a/io/pool/pool.go
+++ b/io/pool/pool.go
@@ -36,6 +36,8 @@
 	Now func() time.Time
 	// Dial connects to an address.
 	Dial func(ctx context.Context, address string) (net.Conn, error)
+	// Relays reaches homes; nil if there are none.
+	Relays *Relays
 	Codec
 }
 
@@ -49,8 +51,11 @@
 
 	mu sync.Mutex
 	// idle holds the unused connections, last used last.
-	idle   []*Conn
-	quota  int
+	idle []*Conn
+	// quota is 0 if the upstream is reached through its homes.
+	quota int
+	// homes holds the addresses of the instances that relay to the upstream.
+	homes  []string
 	closed bool
 	// open counts connections, those under way included.
 	open atomic.Int32
@@ -60,30 +65,42 @@
 	nearest atomic.Int64
 }
 
-// New returns a pool without connections that may have up to quota of them.
-func New(up group.Upstream, quota int, se Settings, sm Seams) *Pool {
+// New returns a pool without connections and without a share of them.
+func New(up group.Upstream, se Settings, sm Seams) *Pool {
 	return &Pool{
 		upstream: up,
 		settings: se,
 		seams:    sm,
-		quota:    quota,
-		gate:     gate.New(max(quota, 1), se.Waiting, sm.Now),
+		gate:     gate.New(slots(0), se.Waiting, sm.Now),
 	}
 }
 
+// relayed bounds the batches that are under way to an upstream's homes at once;
+// the homes queue them fairly.
+const relayed = 64
+
+// slots returns how many connections may be in use at once.
+func slots(quota int) int {
+	if quota == 0 {
+		return relayed
+	}
+	return quota
+}
+
 // Upstream returns what the pool connects to.
 func (po *Pool) Upstream() group.Upstream { return po.upstream }
 
-// SetQuota changes how many connections the pool may have.
-func (po *Pool) SetQuota(quota int) {
+// SetShare changes how many connections the pool may have and, if none, the
+// homes through which it reaches the upstream.
+func (po *Pool) SetShare(quota int, homes []string) {
 	po.mu.Lock()
-	if po.quota == quota {
-		po.mu.Unlock()
+	isSame := po.quota == quota
+	po.quota, po.homes = quota, homes
+	po.mu.Unlock()
+	if isSame {
 		return
 	}
-	po.quota = quota
-	po.mu.Unlock()
-	po.gate.SetSlots(max(quota, 1))
+	po.gate.SetSlots(slots(quota))
 	po.trim()
 }
 
@@ -97,6 +114,9 @@
 	return po.quota
 }
 
+// Room returns how many requests may be under way at once.
+func (po *Pool) Room() int { return slots(po.Quota()) }
+
 // Opened returns how many connections were made since the start.
 func (po *Pool) Opened() int64 { return po.opened.Load() }
 
@@ -111,6 +131,9 @@
 	if err != nil {
 		return nil, err
 	}
+	if homes := po.relayedBy(); homes != nil {
+		return po.acquireRelayed(caller, homes, release)
+	}
 	for {
 		co := po.take()
 		if co == nil {
@@ -131,6 +154,35 @@
 	return co, nil
 }
 
+// relayedBy returns the homes if the upstream is reached through them, or nil.
+func (po *Pool) relayedBy() []string {
+	po.mu.Lock()
+	defer po.mu.Unlock()
+	if po.quota > 0 || po.seams.Relays == nil {
+		return nil
+	}
+	if po.homes == nil {
+		return []string{}
+	}
+	return po.homes
+}
+
+// acquireRelayed returns a connection through a home. The home takes its own
+// connection when the first batch arrives.
+func (po *Pool) acquireRelayed(caller string, homes []string, release func()) (*Conn, error) {
+	address, ok := po.seams.Relays.choose(homes)
+	if !ok {
+		release()
+		return nil, codes.Refuse(codes.PeerUnreached, "none of %d homes is in reach", len(homes))
+	}
+	re, err := po.seams.Relays.take(address)
+	if err != nil {
+		release()
+		return nil, codes.Refuse(codes.PeerUnreached, "%v", err)
+	}
+	return &Conn{pool: po, relay: re, caller: caller, release: release}, nil
+}
+
 // take returns the idle connection that was used last, or nil.
 func (po *Pool) take() *Conn {
 	po.mu.Lock()
@@ -147,6 +199,11 @@
 // Release gives a connection back that is in no transaction and has no answer
 // outstanding.
 func (po *Pool) Release(co *Conn) {
+	if co.relay != nil {
+		co.relay.rs.give(co.relay)
+		co.release()
+		return
+	}
 	co.lastUsed = po.seams.Now()
 	po.mu.Lock()
 	keep := !po.closed && int(po.open.Load()) <= po.quota
@@ -167,6 +224,10 @@
 }
 
 func (po *Pool) drop(co *Conn) {
+	if co.relay != nil {
+		co.relay.rs.drop(co.relay)
+		return
+	}
 	_ = co.net.Close()
 	po.open.Add(-1)
 }
