--- a/io/engine/pick.go
+++ b/io/engine/pick.go
@@ -33,8 +33,8 @@
 	// acrossPenalty is added for another region, since the link between regions
 	// is scarce and paid by volume.
 	acrossPenalty = 10 * time.Millisecond
-	// firstLatency is assumed of an upstream that has answered nothing yet.
-	firstLatency = 5 * time.Millisecond
+	// leaderPenalty is added for the leader, whose slots the writes need.
+	leaderPenalty = 3 * time.Millisecond
 )
 
 // floorFor returns where a read may run, and false if only the leader can
@@ -74,6 +74,7 @@
 func (tr *try) cheapest(fl floor, now time.Time) *upstream {
 	var best *upstream
 	var bestCost time.Duration
+	leader, _ := tr.gr.currentLeader()
 	for _, up := range tr.gr.all() {
 		if tr.attempts[up] > 0 || up.isAvoided(now) || up.info.Load().Leaving {
 			continue
@@ -82,6 +83,9 @@
 			continue
 		}
 		cost := tr.en.cost(up)
+		if up == leader {
+			cost += leaderPenalty
+		}
 		if best == nil || cost < bestCost {
 			best, bestCost = up, cost
 		}
@@ -95,7 +99,8 @@
 	latency := time.Duration(up.latency.Load())
 	trip := en.trip(up, info.Domain)
 	if latency == 0 {
-		latency = firstLatency + trip
+		// One that has answered nothing yet is worth a try.
+		latency = trip
 	}
 	slots := max(info.Slots, 1)
 	running, waiting := up.pool.Load()
--- a/io/member/member.go
+++ b/io/member/member.go
@@ -31,6 +31,9 @@
 	CallerAddress string
 	// PeerAddress serves the other members, "ip:port".
 	PeerAddress string
+	// Seeds are addresses of other members to start from while the store is
+	// away; they may be out of date.
+	Seeds []string
 	// RelayAddress serves the batches that the other members relay, "ip:port".
 	RelayAddress string
 	// Weight is the instance's size; any unit will do.
--- a/io/member/peer.go
+++ b/io/member/peer.go
@@ -166,6 +166,7 @@
 			}
 			source, ok := ps.me.roster.source()
 			if !ok {
+				ps.trySeeds(ctx)
 				break
 			}
 			if ps.exchange(ctx, source) {
@@ -178,6 +179,15 @@
 	}
 }
 
+// trySeeds asks the members named in the settings, while no other is known.
+func (ps *peers) trySeeds(ctx context.Context) {
+	for _, address := range ps.me.settings.Seeds {
+		if address != ps.me.settings.PeerAddress && ps.exchange(ctx, entry{Address: address}) {
+			return
+		}
+	}
+}
+
 // isTroubled reports whether a leader is not reached or does not answer writes,
 // which others should hear of soon.
 func (me *Member) isTroubled() bool {
