--- a/io/engine/answer.go
+++ b/io/engine/answer.go
@@ -42,17 +42,17 @@
 func (se *session) answerFailed(st stmt.Statement) stmt.Result {
 	lost := se.lost
 	se.lost = nil
-	switch {
-	case st.Kind == stmt.Rollback:
+	switch st.Kind {
+	case stmt.Rollback:
 		se.state = stmt.Idle
 		return se.success()
-	case st.Kind == stmt.Commit:
+	case stmt.Commit:
 		se.state = stmt.Idle
 		if lost == nil {
 			lost = codes.Refuse(codes.TransactionLost, "the transaction had failed before")
 		}
-		return se.refusal(lost)
-	case lost != nil:
+	}
+	if lost != nil {
 		return se.refusal(lost)
 	}
 	return se.refusal(codes.Refuse(codes.TransactionFailed, "end the transaction first"))
@@ -87,10 +87,10 @@
 // answerOpen serves a statement inside a transaction.
 func (se *session) answerOpen(st stmt.Statement) stmt.Result {
 	tx := se.tx
-	switch {
-	case st.Kind == stmt.Begin || st.Kind == stmt.BeginRead:
+	switch st.Kind {
+	case stmt.Begin, stmt.BeginRead:
 		return se.broken(codes.Refuse(codes.ProtocolViolation, "a transaction is open already"))
-	case st.Kind == stmt.Rollback:
+	case stmt.Rollback:
 		tx.end()
 		se.tx, se.state = nil, stmt.Idle
 		return se.success()
--- a/io/engine/seek.go
+++ b/io/engine/seek.go
@@ -68,10 +68,11 @@
 		up.pool.Discard(co)
 	}
 	up.succeeded()
-	if results[0].Code == codes.OK {
+	switch results[0].Code {
+	case codes.OK:
 		up.noteApplied(results[0].Position)
 		gr.proved(up, asked, results[0].Position)
-	} else if results[0].Code == codes.NotPrimary {
+	case codes.NotPrimary:
 		gr.denied(up, asked)
 	}
 	return true
--- a/io/member/member.go
+++ b/io/member/member.go
@@ -152,8 +152,6 @@
 	// listingPause is kept between two answers of the listing's watch: each
 	// upstream writes every second, and a call costs more than its events.
 	listingPause = 600 * time.Millisecond
-	// watchWait is how long a watch of seldom changes waits.
-	watchWait = 20 * time.Second
 	// callTimeout bounds a call to the store that does not wait.
 	callTimeout = 2 * time.Second
 	// retryPause is kept after a failed call to the store.
