Blame a home, not the upstream behind it, for a link that fails

Change: a failed link says nothing of the upstream; a change of lead by another holder counts for the least time between two changes.

--- a/io/engine/single.go
+++ b/io/engine/single.go
@@ -1,7 +1,6 @@
 package engine
 
 import (
-	"os"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -190,12 +189,13 @@
 		// A home refused the batch; the upstream is not to blame.
 		return ref
 	}
-	up.failed(tr.en.seams.Now())
-	if isSafe || errors.Is(err, pool.ErrNotSent) {
-		return codes.Refuse(codes.UpstreamUnreached, "%s: %v", up.id(), err)
+	isNotRun := isSafe || errors.Is(err, pool.ErrNotSent)
+	if isNotRun && errors.Is(err, pool.ErrHome) {
+		return codes.Refuse(codes.PeerUnreached, "%s: %v", up.id(), err)
 	}
-	if errors.Is(err, os.ErrDeadlineExceeded) {
-		up.stalled(tr.en.seams.Now())
+	up.blame(err, !isNotRun, tr.en.seams.Now())
+	if isNotRun {
+		return codes.Refuse(codes.UpstreamUnreached, "%s: %v", up.id(), err)
 	}
 	return codes.Refuse(codes.OutcomeUnknown, "%s: %v", up.id(), err)
 }
--- a/io/engine/trans.go
+++ b/io/engine/trans.go
@@ -1,11 +1,8 @@
 package engine
 
 import (
-	"os"
 	"time"
 
-	"github.com/cockroachdb/errors"
-
 	"banyanspring/core/codes"
 	"banyanspring/core/stmt"
 	"banyanspring/io/pool"
@@ -132,13 +129,11 @@
 		results, err := tx.conn.Run(rq.batch(true, rq.st), rq.deadline)
 		done(err == nil)
 		if err != nil {
-			tx.up.failed(tx.en.seams.Now())
 			tx.up.pool.Discard(tx.conn)
 			tx.conn = nil
-			if rq.st.Kind == stmt.Commit && wroteBefore {
-				if errors.Is(err, os.ErrDeadlineExceeded) {
-					tx.up.stalled(tx.en.seams.Now())
-				}
+			isInDoubt := rq.st.Kind == stmt.Commit && wroteBefore
+			tx.up.blame(err, isInDoubt, tx.en.seams.Now())
+			if isInDoubt {
 				return stmt.Result{}, codes.Refuse(codes.OutcomeUnknown, "%s: %v", tx.up.id(), err)
 			}
 			return stmt.Result{}, codes.Refuse(codes.TransactionLost, "%s: %v", tx.up.id(), err)
--- a/io/engine/upstream.go
+++ b/io/engine/upstream.go
@@ -1,9 +1,12 @@
 package engine
 
 import (
+	"os"
 	"sync/atomic"
 	"time"
 
+	"github.com/cockroachdb/errors"
+
 	"banyanspring/core/group"
 	"banyanspring/core/posn"
 	"banyanspring/io/pool"
@@ -98,6 +101,18 @@
 
 func (up *upstream) isAvoided(now time.Time) bool { return now.UnixNano() < up.avoidUntil.Load() }
 
+// blame notes what a connection's error says of the upstream: nothing if a home
+// failed. A write that went unanswered until its deadline is a stall.
+func (up *upstream) blame(err error, isWrite bool, now time.Time) {
+	if errors.Is(err, pool.ErrHome) {
+		return
+	}
+	up.failed(now)
+	if isWrite && errors.Is(err, os.ErrDeadlineExceeded) {
+		up.stalled(now)
+	}
+}
+
 // stalled notes a write that went unanswered.
 func (up *upstream) stalled(now time.Time) {
 	for pos := range up.stalls {
--- a/io/member/guard.go
+++ b/io/member/guard.go
@@ -152,6 +152,10 @@
 	defer gu.mu.Unlock()
 	gu.keepPools(members)
 	if op.Leader != "" && op.Leader != gu.leader {
+		if gu.leader != "" {
+			// Somebody else has changed the lead.
+			gu.changedAt = now
+		}
 		gu.leader, gu.watchedSince, gu.refused = op.Leader, now, false
 		gu.heardAt = time.Time{}
 	}
--- a/io/pool/relay.go
+++ b/io/pool/relay.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net"
+	"os"
 	"sync"
 	"time"
 
@@ -47,6 +48,9 @@
 	}
 }
 
+// ErrHome marks the failure of a home, for which the upstream is not to blame.
+var ErrHome = errors.New("the home failed")
+
 // relay is one link to a home. It carries one batch at a time.
 type relay struct {
 	rs      *Relays
@@ -91,9 +95,10 @@
 	Detail  string
 	// Broken tells why the upstream's connection broke; empty if it did not.
 	Broken string
-	// NotSent is true if it broke before anything was sent.
-	NotSent bool
-	Results []resultMessage
+	// NotSent is true if it broke before anything was sent, and TimedOut if the
+	// upstream did not answer by the deadline.
+	NotSent, TimedOut bool
+	Results           []resultMessage
 }
 
 type resultMessage struct {
@@ -216,18 +221,20 @@
 	if err := re.enc.Encode(msg); err != nil {
 		re.rs.failed(re.address)
 		// A message that was cut is not run.
-		return nil, errors.Mark(err, ErrNotSent)
+		return nil, errors.Mark(errors.Mark(err, ErrNotSent), ErrHome)
 	}
 	var answer resultsMessage
 	if err := re.dec.Decode(&answer); err != nil {
 		re.rs.failed(re.address)
-		return nil, err
+		return nil, errors.Mark(err, ErrHome)
 	}
 	switch {
 	case answer.Refusal != 0:
 		return nil, codes.Refuse(codes.Code(answer.Refusal), "%s", answer.Detail)
 	case answer.NotSent:
 		return nil, errors.Mark(errors.New(answer.Broken), ErrNotSent)
+	case answer.TimedOut:
+		return nil, errors.Mark(errors.New(answer.Broken), os.ErrDeadlineExceeded)
 	case answer.Broken != "":
 		return nil, errors.New(answer.Broken)
 	}
@@ -320,7 +327,9 @@
 	results, err := le.conn.Run(toBatch(msg), deadline)
 	if err != nil {
 		le.end()
-		return resultsMessage{Broken: err.Error(), NotSent: errors.Is(err, ErrNotSent)}
+		return resultsMessage{
+			Broken: err.Error(), NotSent: errors.Is(err, ErrNotSent), TimedOut: errors.Is(err, os.ErrDeadlineExceeded),
+		}
 	}
 	le.settle(msg, results[len(results)-1].State)
 	return resultsMessage{Results: toMessages(results)}
