Let statements wait for slots where the connections are

Change: a holder of connections has at most four statements at the upstream for each slot, shared among the holders; the rest wait in its own fair queue, are refused in time, and those of open transactions go first. Two homes an upstream whatever its connections, since they no longer bound what runs. A candidate that is behind a frozen replica is frozen too, and the one with most is promoted.

--- a/core/share/share.go
+++ b/core/share/share.go
@@ -29,6 +29,8 @@
 	// Quota is how many connections the instance may have; 0 if it is to use
 	// the homes.
 	Quota int
+	// Holders counts the instances that have a quota.
+	Holders int
 	// Homes holds the addresses of the homes, best first; empty if each
 	// instance has a quota.
 	Homes []string
@@ -41,12 +43,10 @@
 	// enough is how many connections an instance needs to do without homes: one
 	// may be held by a transaction.
 	enough = 2
-	// perHome is how many connections a home should have. Fewer homes queue
-	// less, since a connection that is idle at one cannot serve another's
-	// callers; with 15 that waste is below a tenth at common loads.
-	perHome = 15
-	// leastHomes keeps an upstream in reach when a home fails.
-	leastHomes = 2
+	// homesEach is how many homes an upstream has. Fewer homes queue less, since
+	// a connection or a slot that is idle at one cannot serve another's callers;
+	// two keep the upstream in reach when one fails.
+	homesEach = 2
 )
 
 // Of returns self's share of the connections to an upstream, which stands at
@@ -54,13 +54,13 @@
 func Of(upstream string, at place.Site, connections int, members []Member, self string) Share {
 	free := max(connections-reserved, 1)
 	if len(members) == 0 {
-		return Share{Quota: 1}
+		return Share{Quota: 1, Holders: 1}
 	}
 	if even := free / len(members); even >= enough {
-		return Share{Quota: even}
+		return Share{Quota: even, Holders: len(members)}
 	}
-	homes := homesOf(upstream, at, max(leastHomes, free/perHome), members)
-	sh := Share{}
+	homes := homesOf(upstream, at, homesEach, members)
+	sh := Share{Holders: len(homes)}
 	for _, me := range homes {
 		if me.Name == self {
 			sh.Quota = max(1, free/len(homes))
--- a/core/share/share_test.go
+++ b/core/share/share_test.go
@@ -26,7 +26,7 @@
 
 func TestFewInstancesShareEvenly(t *testing.T) {
 	sh := Of("db", place.Site{Domain: "a"}, 16, fleet(2), "a-0")
-	require.Equal(t, Share{Quota: 2}, sh)
+	require.Equal(t, Share{Quota: 2, Holders: 6}, sh)
 }
 
 func TestManyInstancesUseHomesInTheUpstreamsDomain(t *testing.T) {
--- a/io/engine/engine.go
+++ b/io/engine/engine.go
@@ -141,7 +141,7 @@
 		return
 	}
 	sh := en.seams.Share(info, gr)
-	up.pool.SetShare(sh.Quota, sh.Homes)
+	up.pool.SetShare(sh.Quota, sh.Holders, sh.Homes)
 }
 
 // Maintain applies changed shares and closes unused connections. It is called
--- a/io/engine/seek.go
+++ b/io/engine/seek.go
@@ -55,11 +55,13 @@
 	asked := en.seams.Now()
 	results, err := co.Run(pool.Batch{Statements: lead, AnyVars: true}, deadline)
 	if err != nil {
-		up.pool.Discard(co)
 		var ref *codes.Refusal
-		if !errors.As(err, &ref) {
-			up.failed(en.seams.Now())
+		if errors.As(err, &ref) {
+			up.pool.Release(co)
+			return false
 		}
+		up.pool.Discard(co)
+		up.blame(err, false, en.seams.Now())
 		return false
 	}
 	if results[1].State == stmt.Idle {
--- a/io/engine/single.go
+++ b/io/engine/single.go
@@ -156,8 +156,7 @@
 	results, err := co.Run(tr.rq.batch(false, tr.rq.st), tr.rq.deadline)
 	done(err == nil)
 	if err != nil {
-		up.pool.Discard(co)
-		return stmt.Result{}, tr.broken(up, err, false)
+		return stmt.Result{}, tr.broken(up, co, err, false)
 	}
 	up.succeeded()
 	res := results[0]
@@ -181,14 +180,17 @@
 	return pool.Batch{Vars: rq.session.vars, Plan: rq.plan, Statements: sts, Keep: keep}
 }
 
-// broken turns an error of a connection into a refusal; isSafe is true if the
-// statements leave nothing behind unless they are followed by others.
-func (tr *try) broken(up *upstream, err error, isSafe bool) *codes.Refusal {
+// broken turns an error of a batch into a refusal, and gives the connection back
+// or closes it. isSafe is true if the statements leave nothing behind unless
+// they are followed by others.
+func (tr *try) broken(up *upstream, co *pool.Conn, err error, isSafe bool) *codes.Refusal {
 	var ref *codes.Refusal
 	if errors.As(err, &ref) {
-		// A home refused the batch; the upstream is not to blame.
+		// Nothing was run, and the upstream is not to blame.
+		giveUp(up, co, tr.en.seams.Now())
 		return ref
 	}
+	up.pool.Discard(co)
 	isNotRun := isSafe || errors.Is(err, pool.ErrNotSent)
 	if isNotRun && errors.Is(err, pool.ErrHome) {
 		return codes.Refuse(codes.PeerUnreached, "%s: %v", up.id(), err)
@@ -273,8 +275,7 @@
 	results, err := co.Run(ba, tr.readDeadline(tr.en.seams.Now()))
 	done(err == nil)
 	if err != nil {
-		up.pool.Discard(co)
-		return nil, tr.broken(up, err, true)
+		return nil, tr.broken(up, co, err, true)
 	}
 	up.succeeded()
 	return results, nil
@@ -287,8 +288,7 @@
 	asked := tr.en.seams.Now()
 	results, err := co.Run(tr.rq.batch(true, begin), tr.readDeadline(asked))
 	if err != nil {
-		up.pool.Discard(co)
-		return stmt.Result{}, tr.broken(up, err, true)
+		return stmt.Result{}, tr.broken(up, co, err, true)
 	}
 	up.succeeded()
 	res := results[0]
--- a/io/engine/trans.go
+++ b/io/engine/trans.go
@@ -3,6 +3,8 @@
 import (
 	"time"
 
+	"github.com/cockroachdb/errors"
+
 	"banyanspring/core/codes"
 	"banyanspring/core/stmt"
 	"banyanspring/io/pool"
@@ -128,6 +130,10 @@
 		done := tx.up.begin(tx.en.seams.Now)
 		results, err := tx.conn.Run(rq.batch(true, rq.st), rq.deadline)
 		done(err == nil)
+		var ref *codes.Refusal
+		if errors.As(err, &ref) {
+			return stmt.Result{}, ref
+		}
 		if err != nil {
 			tx.up.pool.Discard(tx.conn)
 			tx.conn = nil
@@ -177,6 +183,15 @@
 // does not answer is closed, which rolls back too.
 const rollbackTimeout = time.Second
 
+// giveUp returns a connection on which nothing more is to be run.
+func giveUp(up *upstream, co *pool.Conn, now time.Time) {
+	if co.IsOpen() {
+		go rollBack(up, co, now)
+		return
+	}
+	up.pool.Release(co)
+}
+
 func rollBack(up *upstream, co *pool.Conn, now time.Time) {
 	ba := pool.Batch{Statements: []stmt.Statement{{Kind: stmt.Rollback}}, AnyVars: true}
 	results, err := co.Run(ba, now.Add(rollbackTimeout))
--- a/io/member/change.go
+++ b/io/member/change.go
@@ -17,6 +17,9 @@
 // errNoCandidate is returned if no replica can be promoted.
 var errNoCandidate = errors.New("no replica can be promoted")
 
+// errBehind is returned if a frozen replica has more than the candidate.
+var errBehind = errors.New(string(elect.Behind))
+
 // maxShift keeps the pause between two changes from overflowing.
 const maxShift = 8
 
@@ -65,7 +68,15 @@
 	reports := gu.each(frozen, func(co *pool.Conn, deadline time.Time) (pool.Report, error) {
 		return co.Freeze(term+1, deadline)
 	})
-	if err := gu.confirm(ctx, vi, candidate, gu.states(frozen, reports), term); err != nil {
+	states := gu.states(frozen, reports)
+	err := gu.confirm(ctx, vi, candidate, states, term)
+	if err != nil && errors.Is(err, errBehind) {
+		// A frozen replica has more. With all frozen nothing more can be
+		// acknowledged, so that the one with most is the one to promote.
+		frozen = replicas
+		candidate, err = gu.freezeAll(vi, candidate, states, term)
+	}
+	if err != nil {
 		gu.thaw(frozen)
 		return candidate.ID, err
 	}
@@ -78,6 +89,21 @@
 	return candidate.ID, nil
 }
 
+// freezeAll freezes the candidate too and returns the best of all.
+func (gu *guard) freezeAll(vi group.View, candidate elect.Replica, states []elect.Replica, term uint64) (elect.Replica, error) {
+	up, _ := vi.GetUpstreamByID(candidate.ID)
+	an := gu.one(up, func(co *pool.Conn, deadline time.Time) (pool.Report, error) { return co.Freeze(term+1, deadline) })
+	states = append(states, gu.states([]group.Upstream{up}, map[string]answer{up.ID: an})...)
+	best, ok := elect.Choose(states)
+	if !ok {
+		return candidate, errNoCandidate
+	}
+	if obstacle := elect.Check(best, states, term); obstacle != elect.Clear {
+		return best, errors.Newf("%s", string(obstacle))
+	}
+	return best, gu.noStranger(best.ID, states)
+}
+
 func others(members []group.Upstream, id string) []group.Upstream {
 	out := make([]group.Upstream, 0, len(members))
 	for _, up := range members {
@@ -169,10 +195,13 @@
 			return ctx.Err()
 		}
 	}
-	if obstacle != elect.Clear {
-		return errors.Newf("%s", string(obstacle))
+	switch obstacle {
+	case elect.Clear:
+		return gu.noStranger(candidate.ID, frozen)
+	case elect.Behind:
+		return errBehind
 	}
-	return gu.noStranger(candidate.ID, frozen)
+	return errors.Newf("%s", string(obstacle))
 }
 
 // relist notes which of the replicas have left the listing meanwhile.
--- a/io/member/guard.go
+++ b/io/member/guard.go
@@ -39,7 +39,7 @@
 	changeRetry     = 100 * time.Millisecond
 	changeRetryMost = 1600 * time.Millisecond
 	// catchUpTries is how often a candidate that is behind is looked at again.
-	catchUpTries = 8
+	catchUpTries = 4
 	// catchUpPause is kept between two looks at a candidate that is behind.
 	catchUpPause = 25 * time.Millisecond
 )
@@ -208,7 +208,7 @@
 	po := gu.pools[up.ID]
 	if po == nil {
 		po = pool.New(up, guardPool, pool.Seams{Now: gu.me.seams.Now, Dial: gu.me.seams.Dial, Codec: gu.me.seams.Codec})
-		po.SetShare(1, nil)
+		po.SetShare(1, 1, nil)
 		gu.pools[up.ID] = po
 	}
 	return po
--- a/io/pool/batch.go
+++ b/io/pool/batch.go
@@ -1,10 +1,12 @@
 package pool
 
 import (
+	"context"
 	"time"
 
 	"github.com/cockroachdb/errors"
 
+	"banyanspring/core/admit"
 	"banyanspring/core/codes"
 	"banyanspring/core/stmt"
 	"banyanspring/core/vars"
@@ -26,11 +28,39 @@
 }
 
 // Run gives the connection the batch's values and plan and runs its statements
-// in one write. On an error the connection must be discarded.
+// in one write. A *codes.Refusal means that nothing was run and the connection
+// is as before; after any other error it must be discarded.
 func (co *Conn) Run(ba Batch, deadline time.Time) ([]stmt.Result, error) {
 	if co.relay != nil {
 		return co.relay.run(co, ba, deadline)
 	}
+	if !ba.takesSlot() {
+		return co.run(ba, deadline)
+	}
+	release, err := co.pool.slots.Acquire(context.Background(), admit.Item{
+		Caller: co.caller, Weight: 1, Limit: co.pool.settings.Waiting, Deadline: deadline,
+		// The next statement of a transaction goes first: it holds a connection,
+		// and perhaps locks that the others wait for.
+		Urgent: co.state == stmt.Open && co.isPinned,
+	})
+	if err != nil {
+		return nil, err
+	}
+	defer release()
+	return co.run(ba, deadline)
+}
+
+// takesSlot reports whether the upstream needs a slot for the batch.
+func (ba Batch) takesSlot() bool {
+	for _, st := range ba.Statements {
+		if st.IsData() || st.Kind == stmt.Commit {
+			return true
+		}
+	}
+	return false
+}
+
+func (co *Conn) run(ba Batch, deadline time.Time) ([]stmt.Result, error) {
 	var sts []stmt.Statement
 	if !ba.AnyVars {
 		sts = co.vars.Align(ba.Vars)
@@ -49,6 +79,8 @@
 	if err != nil {
 		return nil, err
 	}
+	co.state = results[len(results)-1].State
+	co.isPinned = co.state == stmt.Open && ba.takesSlot()
 	return pick(results, wanted)
 }
 
--- a/io/pool/conn.go
+++ b/io/pool/conn.go
@@ -42,9 +42,13 @@
 	lastUsed time.Time
 	// relay is set if the connection leads through a home, and net is nil then.
 	relay *relay
-	// caller is who waits for the home's connections.
-	caller  string
-	release func()
+	// caller is who uses the connection now.
+	caller string
+	// state is that after the last batch, and isPinned is true if a statement
+	// on data has run in the transaction that is open.
+	state    stmt.State
+	isPinned bool
+	release  func()
 	// raw is nil for connections that are not TCP.
 	raw syscall.RawConn
 }
@@ -59,6 +63,9 @@
 	return co
 }
 
+// IsOpen reports whether a transaction is open on the connection.
+func (co *Conn) IsOpen() bool { return co.state == stmt.Open }
+
 // Pool returns the pool that the connection belongs to.
 func (co *Conn) Pool() *Pool { return co.pool }
 
--- a/io/pool/pool.go
+++ b/io/pool/pool.go
@@ -24,8 +24,11 @@
 	Waiting int
 	// ConnectTimeout bounds the set-up of one connection.
 	ConnectTimeout time.Duration
-	// IdleTimeout is how long a connection may stay unused.
-	IdleTimeout time.Duration
+	// IdleTimeout is how long a connection may stay unused, and SpareTimeout
+	// the same for those beyond Kept: what is not needed leaves room for others,
+	// and for a restart of everything while the old connections linger.
+	IdleTimeout, SpareTimeout time.Duration
+	Kept                      int
 	// CheckAfter is how long a connection may have been unused before it is
 	// tried out ahead of a statement that must not be lost in a dead one.
 	CheckAfter time.Duration
@@ -47,13 +50,16 @@
 	upstream group.Upstream
 	settings Settings
 	seams    Seams
-	gate     *gate.Gate
+	// gate shares the connections, and slots what runs on them at once.
+	gate, slots *gate.Gate
 
 	mu sync.Mutex
 	// idle holds the unused connections, last used last.
 	idle []*Conn
 	// quota is 0 if the upstream is reached through its homes.
 	quota int
+	// holders counts the instances that hold connections.
+	holders int
 	// homes holds the addresses of the instances that relay to the upstream.
 	homes  []string
 	closed bool
@@ -71,7 +77,8 @@
 		upstream: up,
 		settings: se,
 		seams:    sm,
-		gate:     gate.New(slots(0), se.Waiting, sm.Now),
+		gate:     gate.New(room(0), se.Waiting, sm.Now),
+		slots:    gate.New(depth(up, 1), se.Waiting, sm.Now),
 	}
 }
 
@@ -79,8 +86,8 @@
 // the homes queue them fairly.
 const relayed = 64
 
-// slots returns how many connections may be in use at once.
-func slots(quota int) int {
+// room returns how many connections may be in use at once.
+func room(quota int) int {
 	if quota == 0 {
 		return relayed
 	}
@@ -90,22 +97,43 @@
 // Upstream returns what the pool connects to.
 func (po *Pool) Upstream() group.Upstream { return po.upstream }
 
-// SetShare changes how many connections the pool may have and, if none, the
-// homes through which it reaches the upstream.
-func (po *Pool) SetShare(quota int, homes []string) {
+const (
+	// queueDepth is how many statements should be at an upstream for each of its
+	// slots: enough that a slot is never idle for the time of a round trip.
+	// What is beyond waits here, where it is put in order and refused in time;
+	// an upstream refuses what comes while its queue is full, whoever it is.
+	queueDepth = 4
+	// leastDepth lets a holder keep both sides of a round trip busy.
+	leastDepth = 2
+)
+
+// depth returns how many statements one of the holders may have at the upstream.
+func depth(up group.Upstream, holders int) int {
+	return max(leastDepth, queueDepth*max(up.Slots, 1)/max(holders, 1))
+}
+
+// SetShare changes how many connections the pool may have, how many instances
+// hold some, and the homes through which it reaches the upstream if it has none.
+func (po *Pool) SetShare(quota, holders int, homes []string) {
 	po.mu.Lock()
-	isSame := po.quota == quota
-	po.quota, po.homes = quota, homes
+	isSame := po.quota == quota && po.holders == holders
+	po.quota, po.holders, po.homes = quota, holders, homes
 	po.mu.Unlock()
 	if isSame {
 		return
 	}
-	po.gate.SetSlots(slots(quota))
+	po.gate.SetSlots(room(quota))
+	po.slots.SetSlots(depth(po.upstream, holders))
 	po.trim()
 }
 
-// Load returns how many connections are in use and how many requests wait.
-func (po *Pool) Load() (running, waiting int) { return po.gate.Load() }
+// Load returns how many connections are in use, and how many requests wait for
+// one or for a slot.
+func (po *Pool) Load() (running, waiting int) {
+	running, waiting = po.gate.Load()
+	_, queued := po.slots.Load()
+	return running, waiting + queued
+}
 
 // Quota returns how many connections the pool may have.
 func (po *Pool) Quota() int {
@@ -115,7 +143,7 @@
 }
 
 // Room returns how many requests may be under way at once.
-func (po *Pool) Room() int { return slots(po.Quota()) }
+func (po *Pool) Room() int { return room(po.Quota()) }
 
 // Opened returns how many connections were made since the start.
 func (po *Pool) Opened() int64 { return po.opened.Load() }
@@ -139,7 +167,7 @@
 		if co == nil {
 			break
 		}
-		co.release = release
+		co.release, co.caller = release, caller
 		if po.seams.Now().Sub(co.lastUsed) < po.settings.CheckAfter || co.isAlive(deadline) {
 			return co, nil
 		}
@@ -150,7 +178,7 @@
 		release()
 		return nil, err
 	}
-	co.release = release
+	co.release, co.caller = release, caller
 	return co, nil
 }
 
@@ -247,10 +275,14 @@
 // Sweep closes connections that were unused for too long or are over the quota.
 func (po *Pool) Sweep() {
 	po.trim()
-	oldest := po.seams.Now().Add(-po.settings.IdleTimeout)
+	now := po.seams.Now()
 	for {
 		po.mu.Lock()
-		if len(po.idle) == 0 || !po.idle[0].lastUsed.Before(oldest) {
+		idleFor := po.settings.IdleTimeout
+		if len(po.idle) > po.settings.Kept {
+			idleFor = po.settings.SpareTimeout
+		}
+		if len(po.idle) == 0 || now.Sub(po.idle[0].lastUsed) < idleFor {
 			po.mu.Unlock()
 			return
 		}
--- a/io/pool/relay.go
+++ b/io/pool/relay.go
@@ -233,12 +233,16 @@
 		return nil, codes.Refuse(codes.Code(answer.Refusal), "%s", answer.Detail)
 	case answer.NotSent:
 		return nil, errors.Mark(errors.New(answer.Broken), ErrNotSent)
+	case len(answer.Results) == 0 && answer.Broken == "":
+		return nil, errors.Mark(errors.New("an answer without results"), ErrHome)
 	case answer.TimedOut:
 		return nil, errors.Mark(errors.New(answer.Broken), os.ErrDeadlineExceeded)
 	case answer.Broken != "":
 		return nil, errors.New(answer.Broken)
 	}
-	return fromMessages(answer.Results), nil
+	results := fromMessages(answer.Results)
+	co.state = results[len(results)-1].State
+	return results, nil
 }
 
 // relayGrace is what a home's answer may take beyond the batch's deadline.
@@ -325,6 +329,11 @@
 		return resultsMessage{Refusal: uint32(codes.InvariantBroken), Detail: "link holds " + le.id}
 	}
 	results, err := le.conn.Run(toBatch(msg), deadline)
+	var ref *codes.Refusal
+	if errors.As(err, &ref) {
+		le.settle(msg, le.conn.state)
+		return resultsMessage{Refusal: uint32(ref.Code), Detail: ref.Detail}
+	}
 	if err != nil {
 		le.end()
 		return resultsMessage{
