--- a/core/elect/elect.go
+++ b/core/elect/elect.go
@@ -29,6 +29,9 @@
 	UnreachedSince time.Time
 	// StalledWrites counts writes that the leader lately did not answer in time.
 	StalledWrites int
+	// WroteAt is when the leader last answered a write; zero if never. A leader
+	// that answers some writes is busy and not stalled.
+	WroteAt time.Time
 }
 
 // Timing holds the times that suspicion works with.
@@ -37,7 +40,8 @@
 	Silence time.Duration
 	// Refusal is the same for a leader whose address refuses connections.
 	Refusal time.Duration
-	// Partial is how long a part of the instances may miss the leader.
+	// Partial is how long a part of the instances may miss the leader, and how
+	// long it may answer no write.
 	Partial time.Duration
 	// Fresh is how old an opinion may be.
 	Fresh time.Duration
@@ -94,6 +98,7 @@
 func Judge(ev Evidence, leader string, ti Timing, now time.Time) Reason {
 	heard := later(ev.HeardAt, ev.WatchedSince)
 	missing, stalled, fresh := 0, 0, 0
+	var wrote time.Time
 	for _, op := range ev.Opinions {
 		if now.Sub(op.At) > ti.Fresh || op.Leader != leader {
 			continue
@@ -101,6 +106,7 @@
 		fresh++
 		heard = later(heard, op.ProvenAt)
 		stalled += op.StalledWrites
+		wrote = later(wrote, op.WroteAt)
 		if !op.UnreachedSince.IsZero() && now.Sub(op.UnreachedSince) > ti.Partial {
 			missing++
 		}
@@ -117,7 +123,7 @@
 		return Leaving
 	case fresh > 0 && float64(missing) >= unreachedShare*float64(fresh) && missing > 0:
 		return Unreached
-	case stalled >= stalledWrites:
+	case stalled >= stalledWrites && now.Sub(wrote) > ti.Partial:
 		return Stalled
 	}
 	return None
--- a/core/elect/elect_test.go
+++ b/core/elect/elect_test.go
@@ -58,6 +58,17 @@
 	require.Equal(t, None, Judge(ev, "b", timing, start))
 }
 
+// Under overload some writes time out and others are answered.
+func TestOverloadedLeaderIsNotStalled(t *testing.T) {
+	now := after(2 * time.Second)
+	hung := Opinion{Leader: "a", At: now, ProvenAt: now, StalledWrites: 4}
+	served := Opinion{Leader: "a", At: now, ProvenAt: now, WroteAt: after(1500 * time.Millisecond)}
+	ev := Evidence{IsListed: true, HeardAt: now, Opinions: []Opinion{hung, hung, served}}
+	require.Equal(t, None, Judge(ev, "a", timing, now))
+	ev.Opinions[2].WroteAt = after(time.Second)
+	require.Equal(t, Stalled, Judge(ev, "a", timing, now))
+}
+
 func TestOldOpinionsCountForNothing(t *testing.T) {
 	now := after(3 * time.Second)
 	ev := Evidence{IsListed: true, HeardAt: now, Opinions: []Opinion{{Leader: "a", At: start, UnreachedSince: start, StalledWrites: 5}}}
--- a/io/engine/engine.go
+++ b/io/engine/engine.go
@@ -195,6 +195,8 @@
 	UnreachedSince time.Time
 	// StalledWrites counts writes that Leader lately did not answer.
 	StalledWrites int
+	// WroteAt is when Leader last answered a write; zero if never.
+	WroteAt time.Time
 }
 
 // Opinions returns what is known of all groups' leaders.
--- a/io/engine/group.go
+++ b/io/engine/group.go
@@ -192,6 +192,9 @@
 	op.Leader = gr.leader.id()
 	op.ProvenAt = gr.claims[op.Leader].provenAt
 	op.StalledWrites = gr.leader.stalledLately(now)
+	if at := gr.leader.wroteAt.Load(); at != 0 {
+		op.WroteAt = time.Unix(0, at)
+	}
 	if since := gr.leader.unreachedSince.Load(); since != 0 {
 		op.UnreachedSince = time.Unix(0, since)
 	}
--- a/io/engine/single.go
+++ b/io/engine/single.go
@@ -165,6 +165,7 @@
 		return stmt.Result{}, tr.refusedAt(up, res)
 	}
 	up.noteApplied(res.Position)
+	up.wroteAt.Store(tr.en.seams.Now().UnixNano())
 	tr.gr.proved(up, asked, res.Position)
 	return res, nil
 }
--- a/io/engine/trans.go
+++ b/io/engine/trans.go
@@ -113,6 +113,9 @@
 		return
 	}
 	tx.up.noteApplied(res.Position)
+	if tx.wrote {
+		tx.up.wroteAt.Store(tx.en.seams.Now().UnixNano())
+	}
 	co := tx.conn
 	tx.conn = nil
 	if res.State != stmt.Idle {
--- a/io/engine/upstream.go
+++ b/io/engine/upstream.go
@@ -31,6 +31,8 @@
 	unreachedSince atomic.Int64
 	// stalls holds when the last writes went unanswered, in Unix nanoseconds.
 	stalls [maxStalls]atomic.Int64
+	// wroteAt is when a write was last answered, in Unix nanoseconds.
+	wroteAt atomic.Int64
 	// applied is the highest position seen.
 	applied atomic.Pointer[posn.Position]
 	// behindUntil is when a replica that was behind is worth another try.
--- a/io/member/guard.go
+++ b/io/member/guard.go
@@ -175,7 +175,8 @@
 		WatchedSince: gu.watchedSince, ChangedAt: gu.changedAt, Opinions: gu.me.opinions.about(gu.name),
 	}
 	ev.Opinions = append(ev.Opinions, elect.Opinion{
-		Leader: op.Leader, At: now, ProvenAt: op.ProvenAt, UnreachedSince: op.UnreachedSince, StalledWrites: op.StalledWrites,
+		Leader: op.Leader, At: now, ProvenAt: op.ProvenAt, UnreachedSince: op.UnreachedSince,
+		StalledWrites: op.StalledWrites, WroteAt: op.WroteAt,
 	})
 	reason := elect.Judge(ev, gu.leader, timing, now)
 	if reason == elect.None || now.Before(gu.retryAt) || len(members) < 2 {
--- a/io/member/member.go
+++ b/io/member/member.go
@@ -117,8 +117,6 @@
 	Waiting:        maxWaiting,
 	ConnectTimeout: connectTimeout,
 	IdleTimeout:    poolIdle,
-	SpareTimeout:   spareIdle,
-	Kept:           keptIdle,
 	CheckAfter:     checkAfter,
 }
 
@@ -132,9 +130,6 @@
 	// poolIdle is how long a connection is kept unused; upstreams close idle
 	// ones after a minute.
 	poolIdle = 45 * time.Second
-	// spareIdle is the same for all but keptIdle of an upstream's connections.
-	spareIdle = 2 * time.Second
-	keptIdle  = 2
 	// checkAfter is how long a connection may be unused before it is tried out.
 	checkAfter = time.Second
 	// sampleTick is the time between two looks at the evidence.
--- a/io/member/opinions.go
+++ b/io/member/opinions.go
@@ -54,6 +54,7 @@
 		wo.AgeMs += passed
 		wo.ProvenMs = older(wo.ProvenMs, passed)
 		wo.UnreachedMs = older(wo.UnreachedMs, passed)
+		wo.WroteMs = older(wo.WroteMs, passed)
 		wo.SampleMs = older(wo.SampleMs, passed+1)
 		out = append(out, wo)
 	}
@@ -83,6 +84,7 @@
 			ProvenAt:       before(he, he.word.ProvenMs),
 			UnreachedSince: before(he, he.word.UnreachedMs),
 			StalledWrites:  he.word.Stalled,
+			WroteAt:        before(he, he.word.WroteMs),
 		})
 	}
 	return out
--- a/io/member/peer.go
+++ b/io/member/peer.go
@@ -41,10 +41,11 @@
 	Group  string `json:"group"`
 	Leader string `json:"leader,omitempty"`
 	AgeMs  int64  `json:"age,omitempty"`
-	// ProvenMs and UnreachedMs are zero if there is none.
+	// ProvenMs, UnreachedMs and WroteMs are zero if there is none.
 	ProvenMs    int64 `json:"proven,omitempty"`
 	UnreachedMs int64 `json:"unreached,omitempty"`
 	Stalled     int   `json:"stalled,omitempty"`
+	WroteMs     int64 `json:"wrote,omitempty"`
 	// Term and Offset are the newest evidence, SampleMs old; zero if none.
 	Term     uint64 `json:"term,omitempty"`
 	Offset   uint64 `json:"offset,omitempty"`
@@ -312,6 +313,7 @@
 			ProvenMs:    ageMs(op.ProvenAt, now),
 			UnreachedMs: ageMs(op.UnreachedSince, now),
 			Stalled:     op.StalledWrites,
+			WroteMs:     ageMs(op.WroteAt, now),
 		})
 	}
 	return append(out, me.opinions.fresh(now)...)
--- a/io/pool/pool.go
+++ b/io/pool/pool.go
@@ -24,11 +24,9 @@
 	Waiting int
 	// ConnectTimeout bounds the set-up of one connection.
 	ConnectTimeout time.Duration
-	// IdleTimeout is how long a connection may stay unused, and SpareTimeout
-	// the same for those beyond Kept: what is not needed leaves room for others,
-	// and for a restart of everything while the old connections linger.
-	IdleTimeout, SpareTimeout time.Duration
-	Kept                      int
+	// IdleTimeout is how long a connection may stay unused. It is long, since a
+	// new connection takes one of the upstream's slots for a while.
+	IdleTimeout time.Duration
 	// CheckAfter is how long a connection may have been unused before it is
 	// tried out ahead of a statement that must not be lost in a dead one.
 	CheckAfter time.Duration
@@ -278,11 +276,7 @@
 	now := po.seams.Now()
 	for {
 		po.mu.Lock()
-		idleFor := po.settings.IdleTimeout
-		if len(po.idle) > po.settings.Kept {
-			idleFor = po.settings.SpareTimeout
-		}
-		if len(po.idle) == 0 || now.Sub(po.idle[0].lastUsed) < idleFor {
+		if len(po.idle) == 0 || now.Sub(po.idle[0].lastUsed) < po.settings.IdleTimeout {
 			po.mu.Unlock()
 			return
 		}
