Take a slot before a connection

Change: quota, then slot, then connection; the slot is freed after the first statement on data, and further statements of a transaction take one at once.

--- a/io/pool/batch.go
+++ b/io/pool/batch.go
@@ -37,19 +37,29 @@
 	if !ba.takesSlot() {
 		return co.run(ba, deadline)
 	}
-	release, err := co.pool.slots.Acquire(context.Background(), admit.Item{
-		Caller: co.caller, Weight: 1, Limit: co.pool.settings.Waiting, Deadline: deadline,
-		// The next statement of a transaction goes first: it holds a connection,
+	if co.slot == nil {
+		// A further statement of a transaction goes first: it holds a connection,
 		// and perhaps locks that the others wait for.
-		Urgent: co.state == stmt.Open && co.isPinned,
-	})
-	if err != nil {
-		return nil, err
+		slot, err := co.pool.slots.Acquire(context.Background(), admit.Item{
+			Caller: co.caller, Weight: 1, Limit: co.pool.settings.Waiting, Deadline: deadline, Urgent: true,
+		})
+		if err != nil {
+			return nil, err
+		}
+		co.slot = slot
 	}
-	defer release()
+	defer co.freeSlot()
 	return co.run(ba, deadline)
 }
 
+// freeSlot gives back the slot that the connection was acquired with.
+func (co *Conn) freeSlot() {
+	if co.slot != nil {
+		co.slot()
+		co.slot = nil
+	}
+}
+
 // takesSlot reports whether the upstream needs a slot for the batch.
 func (ba Batch) takesSlot() bool {
 	for _, st := range ba.Statements {
@@ -80,7 +90,6 @@
 		return nil, err
 	}
 	co.state = results[len(results)-1].State
-	co.isPinned = co.state == stmt.Open && ba.takesSlot()
 	return pick(results, wanted)
 }
 
--- a/io/pool/conn.go
+++ b/io/pool/conn.go
@@ -44,11 +44,12 @@
 	relay *relay
 	// caller is who uses the connection now.
 	caller string
-	// state is that after the last batch, and isPinned is true if a statement
-	// on data has run in the transaction that is open.
-	state    stmt.State
-	isPinned bool
-	release  func()
+	// state is that after the last batch.
+	state stmt.State
+	// slot frees the upstream's slot that the connection was acquired with; nil
+	// once the first statement has used it.
+	slot    func()
+	release func()
 	// raw is nil for connections that are not TCP.
 	raw syscall.RawConn
 }
--- a/io/pool/pool.go
+++ b/io/pool/pool.go
@@ -160,24 +160,35 @@
 	if homes := po.relayedBy(); homes != nil {
 		return po.acquireRelayed(caller, homes, release)
 	}
+	// The slot comes before the connection: a connection that is opened only to
+	// wait for a slot takes one itself.
+	slot, err := po.slots.Acquire(context.Background(), item)
+	if err != nil {
+		release()
+		return nil, err
+	}
+	co, err := po.connect(deadline)
+	if err != nil {
+		slot()
+		release()
+		return nil, err
+	}
+	co.release, co.slot, co.caller = release, slot, caller
+	return co, nil
+}
+
+// connect returns an idle connection that is alive, or a new one.
+func (po *Pool) connect(deadline time.Time) (*Conn, error) {
 	for {
 		co := po.take()
 		if co == nil {
-			break
+			return po.dial(deadline)
 		}
-		co.release, co.caller = release, caller
 		if po.seams.Now().Sub(co.lastUsed) < po.settings.CheckAfter || co.isAlive(deadline) {
 			return co, nil
 		}
 		po.drop(co)
 	}
-	co, err := po.dial(deadline)
-	if err != nil {
-		release()
-		return nil, err
-	}
-	co.release, co.caller = release, caller
-	return co, nil
 }
 
 // relayedBy returns the homes if the upstream is reached through them, or nil.
@@ -230,6 +241,7 @@
 		co.release()
 		return
 	}
+	co.freeSlot()
 	co.lastUsed = po.seams.Now()
 	po.mu.Lock()
 	keep := !po.closed && int(po.open.Load()) <= po.quota
@@ -245,6 +257,7 @@
 
 // Discard closes a connection whose state is not known.
 func (po *Pool) Discard(co *Conn) {
+	co.freeSlot()
 	po.drop(co)
 	co.release()
 }
