Gather evidence on the guard's own connections

The question how far the leader is waited in the same queue as the requests and was refused there; without evidence every read went to the leader. Ruled out: the replicas (they refused 6 reads as behind); the change of leader (it came at 25 s, from the load). Change: the holder of the duty asks on its own connection, which takes no slot, at least each 250 ms, and what it hears is evidence for all. TestCrowdAtTheLeaderLeavesReadsToReplicas failed before and passes now.

--- a/io/member/change.go
+++ b/io/member/change.go
@@ -258,7 +258,7 @@
 			}
 		}
 		now := gu.me.seams.Now()
-		if leads, err := gu.leads(up, now.Add(guardAsk)); err == nil && leads {
+		if _, leads, err := gu.leads(up, now.Add(guardAsk)); err == nil && leads {
 			gu.me.engine.NoteLeader(gu.name, id, now)
 			return nil
 		}
--- a/io/member/guard.go
+++ b/io/member/guard.go
@@ -10,7 +10,9 @@
 	"banyanspring/core/codes"
 	"banyanspring/core/elect"
 	"banyanspring/core/event"
+	"banyanspring/core/evid"
 	"banyanspring/core/group"
+	"banyanspring/core/posn"
 	"banyanspring/core/stmt"
 	"banyanspring/io/delay"
 	"banyanspring/io/engine"
@@ -166,7 +168,7 @@
 	if op.Leader == gu.leader && op.ProvenAt.After(gu.heardAt) {
 		gu.heardAt, gu.refused = op.ProvenAt, false
 	}
-	if isListed && !gu.isAsking && now.Sub(gu.heardAt) >= askAfter {
+	if isListed && !gu.isAsking && (now.Sub(gu.heardAt) >= askAfter || now.Sub(op.Sample.Asked) >= holderSample) {
 		gu.isAsking = true
 		go gu.ask(leader)
 	}
@@ -226,7 +228,13 @@
 // ask asks the leader whether it leads; the answer takes no slot.
 func (gu *guard) ask(up group.Upstream) {
 	asked := gu.me.seams.Now()
-	leads, err := gu.leads(up, asked.Add(guardAsk))
+	at, leads, err := gu.leads(up, asked.Add(guardAsk))
+	if err == nil && leads {
+		// A guard's connection is its own, so that evidence keeps coming while
+		// the pools are full; without it all reads would go to the leader.
+		gu.me.engine.AddEvidence(gu.name, evid.Sample{Asked: asked, Position: at})
+		gu.me.engine.NoteLeader(gu.name, up.ID, asked)
+	}
 	gu.mu.Lock()
 	defer gu.mu.Unlock()
 	gu.isAsking = false
@@ -239,17 +247,18 @@
 	}
 }
 
-// leads asks an upstream whether it leads.
-func (gu *guard) leads(up group.Upstream, deadline time.Time) (bool, error) {
+// leads asks an upstream whether it leads, and how far its log is.
+func (gu *guard) leads(up group.Upstream, deadline time.Time) (posn.Position, bool, error) {
 	var leads bool
+	var at posn.Position
 	err := gu.with(up, deadline, func(co *pool.Conn) error {
 		results, err := co.Exchange(leadQuestion, deadline)
 		if err == nil {
-			leads = results[0].Code == codes.OK
+			leads, at = results[0].Code == codes.OK, results[0].Position
 		}
 		return err
 	})
-	return leads, err
+	return at, leads, err
 }
 
 // leadQuestion is the round of statements that a leader alone answers.
--- a/io/member/member.go
+++ b/io/member/member.go
@@ -221,7 +221,7 @@
 func (me *Member) tick(ctx context.Context) {
 	maintainAt := me.seams.Now()
 	for delay.Pause(ctx, sampleTick) {
-		me.engine.Sample(me.sampleAge())
+		me.engine.Sample(otherSample)
 		now := me.seams.Now()
 		if now.Before(maintainAt) {
 			continue
@@ -233,21 +233,13 @@
 }
 
 const (
-	// holderSample is the age at which the first member renews its evidence.
+	// holderSample is the age at which the holder of the duty renews evidence.
 	holderSample = 250 * time.Millisecond
-	// otherSample is the same for the others, who usually hear of the first
-	// member's evidence before.
+	// otherSample is the same for all members, who usually hear of the holder's
+	// evidence before.
 	otherSample = 900 * time.Millisecond
 )
 
-// sampleAge returns the age at which this member renews its evidence.
-func (me *Member) sampleAge() time.Duration {
-	if me.roster.isHolder() {
-		return holderSample
-	}
-	return otherSample
-}
-
 // IsReady reports whether callers should be sent here.
 func (me *Member) IsReady() bool {
 	return me.life.State() == life.Serving
