Keep connections through timeouts, and start nothing that cannot finish

A timeout also made every instance avoid the leader for up to 2 s. Change: a slot is granted only with half of a service time left; a connection whose statement timed out is kept, with its slot, until the answer has come, and rolled back; connecting goes on for others if its request gives up; three timeouts in a row tell silent from busy.

--- a/core/admit/admit.go
+++ b/core/admit/admit.go
@@ -74,6 +74,9 @@
 const (
 	// serviceSmoothing is the weight of a new sample of service time.
 	serviceSmoothing = 0.1
+	// leastServiceShare is the part of the smoothed service time that a request
+	// must have left to be granted a slot.
+	leastServiceShare = 0.5
 	// minWeight replaces a weight of zero.
 	minWeight = 1
 )
@@ -213,7 +216,7 @@
 		wt := ln.waiting[0]
 		ln.waiting = ln.waiting[1:]
 		qu.total--
-		if !now.Before(wt.item.Deadline) {
+		if !now.Add(qu.leastService()).Before(wt.item.Deadline) {
 			out = append(out, expired(wt.item))
 			qu.forget(caller, ln)
 			continue
@@ -224,6 +227,13 @@
 	return out
 }
 
+// leastService is the time that a request needs at least once it has its slot.
+// One that is granted later than that before its deadline only takes the slot
+// from another.
+func (qu *Queue) leastService() time.Duration {
+	return time.Duration(qu.service * leastServiceShare * float64(time.Second))
+}
+
 // next returns the lane whose first item has the lowest start tag; ties go to
 // the caller's name, so that the order does not depend on the map.
 func (qu *Queue) next() (string, *lane) {
--- a/core/catlg/catlg.go
+++ b/core/catlg/catlg.go
@@ -21,6 +21,17 @@
 	Session
 )
 
+// String returns the name used in metrics.
+func (co Consistency) String() string {
+	switch co {
+	case Strict:
+		return "strict"
+	case Bounded:
+		return "bounded"
+	}
+	return "session"
+}
+
 // Target is what stands behind one database name.
 type Target struct {
 	// Database is the name that callers use; unique in a catalog.
--- a/io/engine/engine.go
+++ b/io/engine/engine.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"banyanspring/core/catlg"
+	"banyanspring/core/codes"
 	"banyanspring/core/evid"
 	"banyanspring/core/group"
 	"banyanspring/core/place"
@@ -31,6 +32,17 @@
 	// Share returns this instance's share of an upstream's connections.
 	Share func(up group.Upstream, gr catlg.Group) share.Share
 	Pool  pool.Seams
+	// Observed is told of each statement on data that was answered.
+	Observed func(ob Observation)
+}
+
+// Observation is one statement as its caller saw it.
+type Observation struct {
+	Group       string
+	Consistency catlg.Consistency
+	// Took runs from the statement's arrival to its answer.
+	Took time.Duration
+	Code codes.Code
 }
 
 // Engine serves sessions. It is safe for concurrent use.
--- a/io/engine/session.go
+++ b/io/engine/session.go
@@ -236,6 +236,7 @@
 	if rq.Kind == Hello {
 		rq.Fault = codes.Refuse(codes.ProtocolViolation, "the session is open already")
 	}
+	arrived := se.en.seams.Now()
 	var res stmt.Result
 	if rq.Fault != nil {
 		event.Log(se.en.log, event.ProtocolFault, "database", se.database, "request_id", rq.Statement.RequestID,
@@ -246,6 +247,9 @@
 	}
 	if rq.Statement.IsData() {
 		se.answered++
+		se.en.seams.Observed(Observation{
+			Group: se.target.Group, Consistency: se.target.Consistency, Took: se.en.seams.Now().Sub(arrived), Code: res.Code,
+		})
 	}
 	se.out = se.en.dialect.AppendResult(se.out[:0], res)
 	return se.write()
--- a/io/engine/upstream.go
+++ b/io/engine/upstream.go
@@ -26,6 +26,8 @@
 	avoidUntil atomic.Int64
 	// failures counts failures in a row.
 	failures atomic.Int32
+	// timeouts counts statements that timed out in a row.
+	timeouts atomic.Int32
 	// unreachedSince is when the first failure in a row was, in Unix
 	// nanoseconds; 0 if it was reached last.
 	unreachedSince atomic.Int64
@@ -50,6 +52,9 @@
 	// behindFor is how long a replica that lacked a position is passed over. It
 	// is of the order of common replication delays.
 	behindFor = 60 * time.Millisecond
+	// silentAfter is how many timeouts in a row tell a silent upstream from a
+	// busy one.
+	silentAfter = 3
 	// maxStalls is how many unanswered writes are remembered.
 	maxStalls = 4
 	// stallMemory is for how long; statements time out within a second or so.
@@ -86,6 +91,9 @@
 
 // succeeded notes an answer.
 func (up *upstream) succeeded() {
+	if up.timeouts.Load() != 0 {
+		up.timeouts.Store(0)
+	}
 	if up.failures.Load() != 0 {
 		up.failures.Store(0)
 		up.unreachedSince.Store(0)
@@ -109,10 +117,17 @@
 	if errors.Is(err, pool.ErrHome) {
 		return
 	}
-	up.failed(now)
-	if isWrite && errors.Is(err, os.ErrDeadlineExceeded) {
+	if !errors.Is(err, os.ErrDeadlineExceeded) {
+		up.failed(now)
+		return
+	}
+	if isWrite {
 		up.stalled(now)
 	}
+	// A busy upstream answers others meanwhile, a silent one does not.
+	if up.timeouts.Add(1) >= silentAfter {
+		up.failed(now)
+	}
 }
 
 // stalled notes a write that went unanswered.
--- a/io/member/member.go
+++ b/io/member/member.go
@@ -17,6 +17,7 @@
 	"banyanspring/core/place"
 	"banyanspring/io/delay"
 	"banyanspring/io/engine"
+	"banyanspring/io/metric"
 	"banyanspring/io/pool"
 )
 
@@ -77,6 +78,7 @@
 	roster   *roster
 	peers    *peers
 	opinions *opinions
+	metrics  *metric.Metrics
 	guards   *guards
 
 	listener net.Listener
@@ -99,11 +101,12 @@
 	me.peers = newPeers(me)
 	me.opinions = newOpinions()
 	me.guards = newGuards(me)
+	me.metrics = metric.New()
 	me.engine = engine.New(
 		engine.Settings{Site: se.Site, RegionOf: se.RegionOf, Pool: poolSettings},
 		engine.Seams{
 			Now:   sm.Now,
-			Share: me.share,
+			Share: me.share, Observed: me.observe,
 			Pool: pool.Seams{
 				Now: sm.Now, Dial: sm.Dial, Codec: sm.Codec, Relays: pool.NewRelays(sm.Now, sm.Dial),
 			},
@@ -228,6 +231,7 @@
 		}
 		maintainAt = now.Add(maintainTick)
 		me.engine.Maintain()
+		me.gauge()
 		go me.roster.prune(ctx)
 	}
 }
@@ -278,6 +282,7 @@
 		time.Sleep(leavePoll)
 	}
 	me.engine.Close()
+	me.metrics.Close()
 	_ = me.life.Stop()
 	event.Log(me.log, event.DaemonStopped, "sessions", me.engine.Sessions(), "took", me.seams.Now().Sub(began).String())
 }
--- /dev/null
+++ b/io/member/observe.go
@@ -0,0 +1,38 @@
+package member
+
+import (
+	"net/http"
+
+	"banyanspring/core/codes"
+	"banyanspring/io/engine"
+)
+
+// observe counts a statement by its group and its target's consistency. Callers
+// and databases are no labels: a configuration may name thousands.
+func (me *Member) observe(ob engine.Observation) {
+	rq := me.metrics.GetRequest(ob.Group, "", ob.Consistency.String())
+	rq.Latency.RecordDuration(ob.Took)
+	switch {
+	case ob.Code == codes.OK:
+	case ob.Code.Info().NotRun:
+		rq.Refused.Inc(1)
+	default:
+		rq.Unknown.Inc(1)
+	}
+}
+
+// gauge publishes the state that has no counter.
+func (me *Member) gauge() {
+	counts := &me.engine.Counts
+	me.metrics.Gauge("sessions").Update(float64(counts.Sessions.Load()))
+	me.metrics.Gauge("served_by_replica").Update(float64(counts.Replica.Load()))
+	me.metrics.Gauge("served_by_leader").Update(float64(counts.Leader.Load()))
+	me.metrics.Gauge("retried").Update(float64(counts.Retried.Load()))
+	me.metrics.Gauge("store_calls").Update(float64(me.seams.Store.Calls()))
+	me.metrics.Gauge("catalog_version").Update(float64(me.catalog.Current().Version))
+}
+
+// serveMetrics adds the metrics to the peers' address.
+func (me *Member) serveMetrics(mux *http.ServeMux) {
+	mux.Handle("GET /metrics", me.metrics.Handler())
+}
--- a/io/member/peer.go
+++ b/io/member/peer.go
@@ -107,6 +107,7 @@
 func (ps *peers) serve() error {
 	mux := http.NewServeMux()
 	mux.HandleFunc("POST "+exchangePath, ps.handle)
+	ps.me.serveMetrics(mux)
 	ln, err := net.Listen("tcp", ps.me.settings.PeerAddress)
 	if err != nil {
 		return errors.Wrap(err, "listen for peers")
--- a/io/pool/batch.go
+++ b/io/pool/batch.go
@@ -48,8 +48,11 @@
 		}
 		co.slot = slot
 	}
-	defer co.freeSlot()
-	return co.run(ba, deadline)
+	results, err := co.run(ba, deadline)
+	if co.outstanding == 0 {
+		co.freeSlot()
+	}
+	return results, err
 }
 
 // freeSlot gives back the slot that the connection was acquired with.
--- a/io/pool/conn.go
+++ b/io/pool/conn.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"net"
+	"os"
 	"syscall"
 	"time"
 
@@ -46,6 +47,8 @@
 	caller string
 	// state is that after the last batch.
 	state stmt.State
+	// outstanding counts answers that had not come by a deadline.
+	outstanding int
 	// slot frees the upstream's slot that the connection was acquired with; nil
 	// once the first statement has used it.
 	slot    func()
@@ -133,6 +136,9 @@
 	for range count {
 		res, err := co.pool.seams.ReadResult(co.rd)
 		if err != nil {
+			if errors.Is(err, os.ErrDeadlineExceeded) {
+				co.outstanding = count - len(results)
+			}
 			return results, err
 		}
 		results = append(results, res)
@@ -140,6 +146,37 @@
 	return results, nil
 }
 
+// drainFor is how long a connection whose statement timed out is kept for the
+// answers outstanding. Most come within a few service times; a new connection
+// would cost the upstream more than they do.
+const drainFor = 2 * time.Second
+
+// drain reads the answers outstanding, rolls back what is open, and reports
+// whether the connection can be used again.
+func (co *Conn) drain() bool {
+	if err := co.setDeadline(co.pool.seams.Now().Add(drainFor)); err != nil {
+		return false
+	}
+	var last stmt.Result
+	for ; co.outstanding > 0; co.outstanding-- {
+		res, err := co.pool.seams.ReadResult(co.rd)
+		if err != nil {
+			return false
+		}
+		last = res
+	}
+	if last.State == stmt.Idle {
+		co.state = stmt.Idle
+		return true
+	}
+	results, err := co.Exchange([]stmt.Statement{{Kind: stmt.Rollback}}, co.pool.seams.Now().Add(drainFor))
+	if err != nil || results[0].State != stmt.Idle {
+		return false
+	}
+	co.state = stmt.Idle
+	return true
+}
+
 // maxIdleBuffer is the size in bytes up to which a connection keeps its write
 // buffer between statements.
 const maxIdleBuffer = 16 << 10
--- a/io/pool/pool.go
+++ b/io/pool/pool.go
@@ -182,7 +182,7 @@
 	for {
 		co := po.take()
 		if co == nil {
-			return po.dial(deadline)
+			return po.dialFor(deadline)
 		}
 		if po.seams.Now().Sub(co.lastUsed) < po.settings.CheckAfter || co.isAlive(deadline) {
 			return co, nil
@@ -255,8 +255,24 @@
 	co.release()
 }
 
-// Discard closes a connection whose state is not known.
+// Discard gives a connection back after an error. One whose statement timed out
+// is kept, with its slot, until the answer has come: the upstream is still at
+// work on it. Any other is closed.
 func (po *Pool) Discard(co *Conn) {
+	if co.relay == nil && co.outstanding > 0 {
+		go func() {
+			if co.drain() {
+				po.Release(co)
+				return
+			}
+			po.discard(co)
+		}()
+		return
+	}
+	po.discard(co)
+}
+
+func (po *Pool) discard(co *Conn) {
 	co.freeSlot()
 	po.drop(co)
 	co.release()
@@ -315,6 +331,34 @@
 	}
 }
 
+// dialFor opens a connection for a request with the deadline. If it takes
+// longer, the connection is kept for others.
+func (po *Pool) dialFor(deadline time.Time) (*Conn, error) {
+	type dialed struct {
+		co  *Conn
+		err error
+	}
+	done := make(chan dialed, 1)
+	go func() {
+		co, err := po.dial(po.seams.Now().Add(po.settings.ConnectTimeout))
+		done <- dialed{co, err}
+	}()
+	timer := time.NewTimer(deadline.Sub(po.seams.Now()))
+	defer timer.Stop()
+	select {
+	case got := <-done:
+		return got.co, got.err
+	case <-timer.C:
+	}
+	go func() {
+		if got := <-done; got.err == nil {
+			got.co.release = func() {}
+			po.Release(got.co)
+		}
+	}()
+	return nil, codes.Refuse(codes.DeadlineUnmet, "connecting takes longer")
+}
+
 // dial opens a connection and checks that the expected upstream answers.
 func (po *Pool) dial(deadline time.Time) (*Conn, error) {
 	wait := min(deadline.Sub(po.seams.Now()), po.settings.ConnectTimeout)
