Count refused statements in an upstream's expected time

Cause: only answers counted, so that an upstream that refused nearly everything looked as fast as ever.

--- /dev/null
+++ b/core/vars/vars_test.go
@@ -0,0 +1,80 @@
+package vars
+
+import (
+	"testing"
+
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+
+	"banyanspring/core/stmt"
+)
+
+func TestAlignSendsOnlyWhatDiffers(t *testing.T) {
+	var co Conn
+	se := Session{}.WithValue("b", "2").WithValue("a", "1")
+	require.Equal(t, []stmt.Statement{
+		{Kind: stmt.Set, Name: "a", Argument: "1"}, {Kind: stmt.Set, Name: "b", Argument: "2"},
+	}, co.Align(se))
+	require.Empty(t, co.Align(se))
+	require.Equal(t, []stmt.Statement{{Kind: stmt.Set, Name: "b", Argument: "3"}}, co.Align(se.WithValue("b", "3")))
+	other := Session{}.WithValue("c", "4")
+	require.Equal(t, []stmt.Statement{{Kind: stmt.Discard}, {Kind: stmt.Set, Name: "c", Argument: "4"}}, co.Align(other))
+}
+
+func TestPlansAreSharedByShapeAndNotByName(t *testing.T) {
+	var co Conn
+	first := Plan{Name: "p", Shape: "one"}
+	second := Plan{Name: "p", Shape: "two"}
+	one, lacking := co.Bind(stmt.Statement{Kind: stmt.Execute, Name: "p", Argument: "k"}, first)
+	require.Len(t, lacking, 1)
+	two, lacking := co.Bind(stmt.Statement{Kind: stmt.Execute, Name: "p", Argument: "k"}, second)
+	require.Len(t, lacking, 1)
+	require.NotEqual(t, one.Name, two.Name)
+	again, lacking := co.Bind(stmt.Statement{Kind: stmt.Execute, Name: "q", Argument: "k"}, Plan{Name: "q", Shape: "one"})
+	require.Empty(t, lacking)
+	require.Equal(t, one.Name, again.Name)
+	writes, _ := co.Bind(stmt.Statement{Kind: stmt.Execute}, Plan{Name: "p", Shape: "one", Writes: true})
+	require.NotEqual(t, one.Name, writes.Name)
+}
+
+// Whatever sessions follow each other on a connection, it holds exactly the
+// values of the last one.
+func TestConnectionAlwaysHoldsTheSessionsValues(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		var co Conn
+		upstream := map[string]string{}
+		for range rapid.IntRange(1, 12).Draw(rt, "sessions") {
+			se := Session{}
+			want := map[string]string{}
+			for range rapid.IntRange(0, 4).Draw(rt, "values") {
+				name := rapid.SampledFrom([]string{"a", "b", "c"}).Draw(rt, "name")
+				val := rapid.SampledFrom([]string{"1", "2"}).Draw(rt, "value")
+				se = se.WithValue(name, val)
+				want[name] = val
+			}
+			require.Equal(rt, se, FromValues(se.Values()))
+			for _, st := range co.Align(se) {
+				if st.Kind == stmt.Discard {
+					upstream = map[string]string{}
+					continue
+				}
+				upstream[st.Name] = st.Argument
+			}
+			require.Equal(rt, want, upstream)
+		}
+	})
+}
+
+func TestSessionsDoNotShareState(t *testing.T) {
+	base := Session{}.WithPlan(Plan{Name: "p", Shape: "one"})
+	changed := base.WithPlan(Plan{Name: "p", Shape: "two"})
+	gone, ok := base.WithoutPlan("p")
+	require.True(t, ok)
+	pl, ok := base.GetPlanByName("p")
+	require.True(t, ok)
+	require.Equal(t, "one", pl.Shape)
+	pl, _ = changed.GetPlanByName("p")
+	require.Equal(t, "two", pl.Shape)
+	_, ok = gone.GetPlanByName("p")
+	require.False(t, ok)
+}
--- a/io/engine/pick.go
+++ b/io/engine/pick.go
@@ -96,12 +96,8 @@
 // cost estimates when an upstream would have answered one more statement.
 func (en *Engine) cost(up *upstream) time.Duration {
 	info := up.info.Load()
-	latency := time.Duration(up.latency.Load())
-	trip := en.trip(up, info.Domain)
-	if latency == 0 {
-		// One that has answered nothing yet is worth a try.
-		latency = trip
-	}
+	// One that has answered nothing yet is worth a try.
+	latency := max(up.expected(en.seams.Now()), en.trip(up, info.Domain))
 	slots := max(info.Slots, 1)
 	running, waiting := up.pool.Load()
 	queued := int(up.pending.Load()) + waiting
--- a/io/engine/single.go
+++ b/io/engine/single.go
@@ -119,7 +119,12 @@
 	case codes.UpstreamUnreached, codes.UpstreamReplaced:
 		up.failed(tr.en.seams.Now())
 	case codes.DeadlineUnmet:
-		return false
+		// Another one may have no crowd.
+		now := tr.en.seams.Now()
+		up.observe(tr.rq.deadline.Sub(now), now)
+		if tr.rq.st.IsWrite() || times > 1 {
+			return false
+		}
 	}
 	if tr.en.seams.Now().Add(pause).After(tr.rq.deadline) {
 		return false
@@ -154,7 +159,7 @@
 	asked := tr.en.seams.Now()
 	done := up.begin(tr.en.seams.Now)
 	results, err := co.Run(tr.rq.batch(false, tr.rq.st), tr.rq.deadline)
-	done(err == nil)
+	done()
 	if err != nil {
 		return stmt.Result{}, tr.broken(up, co, err, false)
 	}
@@ -274,7 +279,7 @@
 func (tr *try) run(up *upstream, co *pool.Conn, ba pool.Batch) ([]stmt.Result, *codes.Refusal) {
 	done := up.begin(tr.en.seams.Now)
 	results, err := co.Run(ba, tr.readDeadline(tr.en.seams.Now()))
-	done(err == nil)
+	done()
 	if err != nil {
 		return nil, tr.broken(up, co, err, true)
 	}
--- a/io/engine/trans.go
+++ b/io/engine/trans.go
@@ -132,7 +132,7 @@
 	for pause := busyPause; ; pause = min(2*pause, busyPauseMost) {
 		done := tx.up.begin(tx.en.seams.Now)
 		results, err := tx.conn.Run(rq.batch(true, rq.st), rq.deadline)
-		done(err == nil)
+		done()
 		var ref *codes.Refusal
 		if errors.As(err, &ref) {
 			return stmt.Result{}, ref
--- a/io/engine/upstream.go
+++ b/io/engine/upstream.go
@@ -21,6 +21,8 @@
 	// latency is the smoothed time of a statement in nanoseconds, without the
 	// wait for a connection.
 	latency atomic.Int64
+	// sampledAt is when latency was last changed, in Unix nanoseconds.
+	sampledAt atomic.Int64
 	// avoidUntil is when a failed upstream is worth another try, in Unix
 	// nanoseconds on the engine's clock.
 	avoidUntil atomic.Int64
@@ -45,6 +47,8 @@
 	// latencySmoothing is the share of a new sample: 1/8, as TCP smooths round
 	// trips.
 	latencySmoothing = 8
+	// halfLife is of the order of the time in which a queue drains.
+	halfLife = 500 * time.Millisecond
 	// avoidFor is how long an upstream is avoided after one failure; it doubles
 	// with each further one up to avoidAtMost.
 	avoidFor    = 200 * time.Millisecond
@@ -71,22 +75,38 @@
 func (up *upstream) id() string { return up.info.Load().ID }
 
 // begin notes a statement under way; the function returned notes its end.
-func (up *upstream) begin(now func() time.Time) func(ok bool) {
+func (up *upstream) begin(now func() time.Time) func() {
 	up.pending.Add(1)
 	since := now()
-	return func(ok bool) {
+	return func() {
 		up.pending.Add(-1)
-		if !ok {
-			return
-		}
-		took := int64(now().Sub(since))
-		old := up.latency.Load()
-		if old == 0 {
-			up.latency.Store(took)
-			return
-		}
-		up.latency.Store(old + (took-old)/latencySmoothing)
+		at := now()
+		up.observe(at.Sub(since), at)
+	}
+}
+
+// observe takes the time of a statement, answered or given up. What was refused
+// counts too: the time of those that got through says nothing of a crowd.
+func (up *upstream) observe(took time.Duration, now time.Time) {
+	old := up.expected(now)
+	up.sampledAt.Store(now.UnixNano())
+	if old == 0 {
+		up.latency.Store(int64(took))
+		return
+	}
+	up.latency.Store(int64(old + (took-old)/latencySmoothing))
+}
+
+// expected returns the smoothed time of a statement; 0 if none is known. It
+// halves with each halfLife without a sample, so that an upstream that was slow
+// is tried again.
+func (up *upstream) expected(now time.Time) time.Duration {
+	latency := up.latency.Load()
+	age := now.UnixNano() - up.sampledAt.Load()
+	for ; age > int64(halfLife) && latency > 1; age -= int64(halfLife) {
+		latency /= 2
 	}
+	return time.Duration(latency)
 }
 
 // succeeded notes an answer.
