Let only writes raise a session's floor

Cause: a read served by the leader raised the session's floor to the leader's newest position, so that replicas, 12 to 90 ms behind, refused its next reads: a session once at the leader stayed there.

--- a/io/engine/answer.go
+++ b/io/engine/answer.go
@@ -79,7 +79,9 @@
 	if ref != nil {
 		return se.refused(st, ref)
 	}
-	se.noteSeen(res.Position)
+	if rq.st.IsWrite() {
+		se.noteWritten(res.Position)
+	}
 	res.State = stmt.Idle
 	return res
 }
@@ -106,8 +108,10 @@
 	if ref != nil {
 		return se.refusedInside(st, ref)
 	}
-	se.noteSeen(res.Position)
 	if st.Kind == stmt.Commit {
+		if tx.wrote {
+			se.noteWritten(res.Position)
+		}
 		se.tx, se.state = nil, stmt.Idle
 	}
 	res.State = se.state
@@ -140,7 +144,10 @@
 	return se.refusal(ref)
 }
 
-func (se *session) noteSeen(po posn.Position) { se.seen = se.seen.Max(po) }
+// noteWritten raises the position that the session's reads must include. Reads
+// do not raise it: one that was served by the leader would keep the session's
+// next reads from all replicas.
+func (se *session) noteWritten(po posn.Position) { se.written = se.written.Max(po) }
 
 // request is one statement on its way.
 type request struct {
--- a/io/engine/pick.go
+++ b/io/engine/pick.go
@@ -49,7 +49,7 @@
 		return floor{}, false
 	}
 	if se.target.Consistency == catlg.Session {
-		po = po.Max(se.seen)
+		po = po.Max(se.written)
 	}
 	return floor{position: po}, true
 }
--- a/io/engine/session.go
+++ b/io/engine/session.go
@@ -45,9 +45,9 @@
 	database string
 	target   catlg.Target
 	vars     vars.Session
-	// seen is the highest position that the session's own statements reported.
-	seen  posn.Position
-	state stmt.State
+	// written is the position of the session's newest acknowledged write.
+	written posn.Position
+	state   stmt.State
 	// tx is nil unless state is Open.
 	tx *transaction
 	// lost is what the next statement of a Failed transaction is told; nil once
@@ -265,11 +265,11 @@
 }
 
 func (se *session) refusal(ref *codes.Refusal) stmt.Result {
-	return stmt.Result{Code: ref.Code, Detail: ref.Detail, State: se.state, Position: se.seen}
+	return stmt.Result{Code: ref.Code, Detail: ref.Detail, State: se.state, Position: se.written}
 }
 
 func (se *session) success() stmt.Result {
-	return stmt.Result{State: se.state, Position: se.seen}
+	return stmt.Result{State: se.state, Position: se.written}
 }
 
 // maxOut is the size in bytes up to which a session keeps its write buffer.
