Look for a shorter queue before waiting in one

Cause: an instance of 83 sends an upstream about one statement a second, too few to know where the crowd is; reads waited their whole time in one queue beside an idle replica. Change: a read waits 40 ms for its turn at each member that may serve it, then its whole time at the best; homes get the patience with the batch and refuse at once what waits longer.

--- a/io/engine/pick.go
+++ b/io/engine/pick.go
@@ -61,7 +61,12 @@
 		return nil, floor{}, tr.giveUp("the deadline has passed")
 	}
 	if fl, ok := tr.floorFor(now); ok {
-		if up := tr.cheapest(fl, now); up != nil {
+		up := tr.cheapest(fl, now)
+		if up == nil && !tr.isLastRound {
+			tr.isLastRound = true
+			up = tr.cheapest(fl, now)
+		}
+		if up != nil {
 			return up, fl, nil
 		}
 	}
@@ -76,7 +81,7 @@
 	var bestCost time.Duration
 	leader, _ := tr.gr.currentLeader()
 	for _, up := range tr.gr.all() {
-		if tr.attempts[up] > 0 || up.isAvoided(now) || up.info.Load().Leaving {
+		if tr.attempts[up] > tr.triedBefore() || up.isAvoided(now) || up.info.Load().Leaving {
 			continue
 		}
 		if up.isBehind(fl.position, now) {
@@ -93,6 +98,14 @@
 	return best
 }
 
+// triedBefore is how often a member may have been tried already.
+func (tr *try) triedBefore() int {
+	if tr.isLastRound {
+		return 1
+	}
+	return 0
+}
+
 // cost estimates when an upstream would have answered one more statement.
 func (en *Engine) cost(up *upstream) time.Duration {
 	info := up.info.Load()
--- a/io/engine/seek.go
+++ b/io/engine/seek.go
@@ -45,7 +45,7 @@
 // probe asks a member whether it leads and reports whether it answered.
 func (en *Engine) probe(gr *groupState, up *upstream) bool {
 	deadline := en.seams.Now().Add(probeTimeout)
-	co, err := up.pool.Acquire(prober, 1, deadline)
+	co, err := up.pool.Acquire(prober, deadline, deadline)
 	if err != nil {
 		if codes.Is(err, codes.UpstreamUnreached) {
 			up.failed(en.seams.Now())
--- a/io/engine/single.go
+++ b/io/engine/single.go
@@ -35,6 +35,8 @@
 	attempts map[*upstream]int
 	// last is why the newest attempt was not run; nil before the first.
 	last *codes.Refusal
+	// isLastRound is true once a read has tried each member that may serve it.
+	isLastRound bool
 }
 
 const (
@@ -122,7 +124,7 @@
 		// Another one may have no crowd.
 		now := tr.en.seams.Now()
 		up.observe(tr.rq.deadline.Sub(now), now)
-		if tr.rq.st.IsWrite() || times > 1 {
+		if tr.rq.st.IsWrite() || tr.isLastRound {
 			return false
 		}
 	}
@@ -152,7 +154,7 @@
 }
 
 func (tr *try) writeAt(up *upstream) (stmt.Result, *codes.Refusal) {
-	co, err := tr.acquire(up)
+	co, err := tr.acquire(up, floor{atLeader: true})
 	if err != nil {
 		return stmt.Result{}, codes.From(err)
 	}
@@ -175,9 +177,20 @@
 	return res, nil
 }
 
+// firstPatience is how long a read waits for its turn at an upstream while it
+// has not tried the others: a few times what a statement takes. Instances see
+// too little of each upstream to know where the crowd is.
+const firstPatience = 40 * time.Millisecond
+
 // acquire takes a connection for the statement.
-func (tr *try) acquire(up *upstream) (*pool.Conn, error) {
-	return up.pool.Acquire(tr.rq.session.database, 1, tr.rq.deadline)
+func (tr *try) acquire(up *upstream, fl floor) (*pool.Conn, error) {
+	patience := tr.rq.deadline
+	if !fl.atLeader && !tr.isLastRound {
+		if first := tr.en.seams.Now().Add(firstPatience); first.Before(patience) {
+			patience = first
+		}
+	}
+	return up.pool.Acquire(tr.rq.session.database, patience, tr.rq.deadline)
 }
 
 // batch returns statements with the request's values and plan. Keep is true if
@@ -252,7 +265,7 @@
 // readAt runs the read at an upstream: above a floor at any member, or inside a
 // transaction at the leader, where the upstream itself proves that it leads.
 func (tr *try) readAt(up *upstream, fl floor) (stmt.Result, *codes.Refusal) {
-	co, err := tr.acquire(up)
+	co, err := tr.acquire(up, fl)
 	if err != nil {
 		return stmt.Result{}, codes.From(err)
 	}
--- a/io/engine/trans.go
+++ b/io/engine/trans.go
@@ -76,7 +76,7 @@
 }
 
 func (tx *transaction) firstAt(tr *try, up *upstream, fl floor) (stmt.Result, *codes.Refusal) {
-	co, err := tr.acquire(up)
+	co, err := tr.acquire(up, fl)
 	if err != nil {
 		return stmt.Result{}, codes.From(err)
 	}
--- a/io/member/guard.go
+++ b/io/member/guard.go
@@ -268,7 +268,7 @@
 // no refusal closes it.
 func (gu *guard) with(up group.Upstream, deadline time.Time, work func(co *pool.Conn) error) error {
 	po := gu.pool(up)
-	co, err := po.Acquire(gu.name, 1, deadline)
+	co, err := po.Acquire(gu.name, deadline, deadline)
 	if err != nil {
 		return err
 	}
--- a/io/pool/pool.go
+++ b/io/pool/pool.go
@@ -150,15 +150,17 @@
 func (po *Pool) RoundTrip() time.Duration { return time.Duration(po.nearest.Load()) }
 
 // Acquire returns a connection for the caller alone. It must be given back by
-// Release or by Discard. The error is a *codes.Refusal; nothing was sent.
-func (po *Pool) Acquire(caller string, weight uint32, deadline time.Time) (*Conn, error) {
-	item := admit.Item{Caller: caller, Weight: weight, Limit: po.settings.Waiting, Deadline: deadline}
+// Release or by Discard. It is refused if the wait for its turn would last past
+// the time in patience; the rest may take until the deadline. The error is a
+// *codes.Refusal; nothing was sent.
+func (po *Pool) Acquire(caller string, patience, deadline time.Time) (*Conn, error) {
+	item := admit.Item{Caller: caller, Weight: 1, Limit: po.settings.Waiting, Deadline: patience}
 	release, err := po.gate.Acquire(context.Background(), item)
 	if err != nil {
 		return nil, err
 	}
 	if homes := po.relayedBy(); homes != nil {
-		return po.acquireRelayed(caller, homes, release)
+		return po.acquireRelayed(caller, homes, patience, release)
 	}
 	// The slot comes before the connection: a connection that is opened only to
 	// wait for a slot takes one itself.
@@ -206,7 +208,7 @@
 
 // acquireRelayed returns a connection through a home. The home takes its own
 // connection when the first batch arrives.
-func (po *Pool) acquireRelayed(caller string, homes []string, release func()) (*Conn, error) {
+func (po *Pool) acquireRelayed(caller string, homes []string, patience time.Time, release func()) (*Conn, error) {
 	address, ok := po.seams.Relays.choose(homes)
 	if !ok {
 		release()
@@ -217,7 +219,7 @@
 		release()
 		return nil, codes.Refuse(codes.PeerUnreached, "%v", err)
 	}
-	return &Conn{pool: po, relay: re, caller: caller, release: release}, nil
+	return &Conn{pool: po, relay: re, caller: caller, patience: patience, release: release}, nil
 }
 
 // take returns the idle connection that was used last, or nil.
--- a/io/pool/relay.go
+++ b/io/pool/relay.go
@@ -63,9 +63,11 @@
 
 // batchMessage asks a home to run a batch.
 type batchMessage struct {
-	_          struct{} `cbor:",toarray"`
-	Upstream   string
-	Caller     string
+	_        struct{} `cbor:",toarray"`
+	Upstream string
+	Caller   string
+	// PatienceMs bounds the wait for a turn, and WaitMs the whole.
+	PatienceMs int64
 	WaitMs     int64
 	Values     []string
 	PlanWrites bool
@@ -206,7 +208,8 @@
 	wait := deadline.Sub(now)
 	msg := batchMessage{
 		Upstream: co.pool.upstream.ID, Caller: co.caller, WaitMs: wait.Milliseconds(),
-		Values: ba.Vars.Values(), PlanWrites: ba.Plan.Writes, PlanShape: ba.Plan.Shape,
+		PatienceMs: co.patience.Sub(now).Milliseconds(),
+		Values:     ba.Vars.Values(), PlanWrites: ba.Plan.Writes, PlanShape: ba.Plan.Shape,
 		AnyVars: ba.AnyVars, Keep: ba.Keep,
 	}
 	for _, st := range ba.Statements {
@@ -318,7 +321,8 @@
 		if po == nil || po.Quota() == 0 {
 			return resultsMessage{Refusal: uint32(codes.NotHome), Detail: msg.Upstream}
 		}
-		co, err := po.Acquire(msg.Caller, 1, deadline)
+		patience := le.now().Add(time.Duration(msg.PatienceMs) * time.Millisecond)
+		co, err := po.Acquire(msg.Caller, patience, deadline)
 		if err != nil {
 			ref := codes.From(err)
 			return resultsMessage{Refusal: uint32(ref.Code), Detail: ref.Detail}
