Find out together which members are gone

Change: after one failed exchange all older members are tried at once, twice; an exchange has 250 ms.

--- a/io/member/peer.go
+++ b/io/member/peer.go
@@ -7,6 +7,7 @@
 	"io"
 	"net"
 	"net/http"
+	"sync"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -28,8 +29,9 @@
 	// well: the link between regions is scarce and paid by volume.
 	exchangeAcross = 450 * time.Millisecond
 	// exchangeTimeout bounds one exchange; the slowest round trip between
-	// regions is some 20 ms.
-	exchangeTimeout = 400 * time.Millisecond
+	// regions is some 20 ms, and a processor share that is used up gives a pause
+	// of 100 ms.
+	exchangeTimeout = 250 * time.Millisecond
 	// maxExchange bounds what is read of an exchange, in bytes.
 	maxExchange = 8 << 20
 )
@@ -161,26 +163,40 @@
 	pause := exchangeEvery
 	for delay.Pause(ctx, pause) {
 		pause = exchangeEvery
-		for range maxSources {
-			now := ps.me.seams.Now()
-			if en, ok := ps.me.roster.lost(now); ok {
-				go ps.exchange(ctx, en)
-			}
-			source, ok := ps.me.roster.source()
-			if !ok {
-				ps.trySeeds(ctx)
-				break
-			}
-			if ps.exchange(ctx, source) {
-				if source.Region != ps.me.settings.Site.Region && !ps.me.isTroubled() {
-					pause = exchangeAcross
-				}
-				break
-			}
+		if en, ok := ps.me.roster.lost(ps.me.seams.Now()); ok {
+			go ps.exchange(ctx, en)
+		}
+		source, ok := ps.me.roster.source()
+		switch {
+		case !ok:
+			ps.trySeeds(ctx)
+		case !ps.exchange(ctx, source):
+			// Where one is gone others may be, if the fleet is split. Who holds
+			// the duty must not take a timeout for each of them to find out.
+			ps.tryElders(ctx)
+			pause = 0
+		case source.Region != ps.me.settings.Site.Region && !ps.me.isTroubled():
+			pause = exchangeAcross
 		}
 	}
 }
 
+// tryElders exchanges with the members of older tokens at once, often enough
+// that one which does not answer counts as gone.
+func (ps *peers) tryElders(ctx context.Context) {
+	for range failuresDown {
+		var wg sync.WaitGroup
+		for _, en := range ps.me.roster.elders() {
+			wg.Add(1)
+			go func() {
+				defer wg.Done()
+				ps.exchange(ctx, en)
+			}()
+		}
+		wg.Wait()
+	}
+}
+
 // trySeeds asks the members named in the settings, while no other is known.
 func (ps *peers) trySeeds(ctx context.Context) {
 	for _, address := range ps.me.settings.Seeds {
@@ -201,9 +217,6 @@
 	return false
 }
 
-// maxSources bounds the sources that are tried in one round.
-const maxSources = 3
-
 // exchange asks one member and reports whether it answered.
 func (ps *peers) exchange(ctx context.Context, source entry) bool {
 	ctx, cancel := context.WithTimeout(ctx, exchangeTimeout)
--- a/io/member/roster.go
+++ b/io/member/roster.go
@@ -439,6 +439,24 @@
 	return entry{}, false
 }
 
+// maxElders bounds the members that are tried at once.
+const maxElders = 8
+
+// elders returns the members with the oldest tokens that are older than this
+// one's and are not known to be gone.
+func (ro *roster) elders() []entry {
+	ro.mu.Lock()
+	defer ro.mu.Unlock()
+	var out []entry
+	for _, kn := range ro.ranked() {
+		if kn.entry.Name == ro.self.Name || len(out) == maxElders {
+			break
+		}
+		out = append(out, kn.entry)
+	}
+	return out
+}
+
 // ranked returns the members that are there, oldest token first; mu is held.
 func (ro *roster) ranked() []*known {
 	out := make([]*known, 0, len(ro.members))
