Let homes and the duty go before the exit

Cause: reading what leaves: a member on its way out went on being source and home until its process ended; transactions of other instances on its connections were cut, and the duty had no holder until its silence was noticed. Change: a leaving member says so in the exchange and counts as gone; it takes no new batches and waits for the transactions that it holds for others. One look at the listing and one loop over idle connections in place of copies.

--- a/io/member/change.go
+++ b/io/member/change.go
@@ -51,12 +51,7 @@
 	if !ok {
 		return "", errors.New("no token")
 	}
-	gu.me.mu.Lock()
-	vi := gu.me.view
-	gu.me.mu.Unlock()
-	gu.mu.Lock()
-	leader := gu.leader
-	gu.mu.Unlock()
+	vi, leader := gu.me.listing(), gu.currentLeader()
 	replicas := others(vi.Members(gu.name), leader)
 	surveyed := gu.each(replicas, func(co *pool.Conn, deadline time.Time) (pool.Report, error) { return co.Status(deadline) })
 	candidate, ok := elect.Choose(gu.states(replicas, surveyed))
@@ -206,9 +201,7 @@
 
 // relist notes which of the replicas have left the listing meanwhile.
 func (gu *guard) relist(frozen []elect.Replica) {
-	gu.me.mu.Lock()
-	vi := gu.me.view
-	gu.me.mu.Unlock()
+	vi := gu.me.listing()
 	for pos := range frozen {
 		_, frozen[pos].Listed = vi.GetUpstreamByID(frozen[pos].ID)
 	}
@@ -217,12 +210,7 @@
 // noStranger makes sure that no member joined since the replicas were frozen:
 // the leader could acknowledge what it alone receives.
 func (gu *guard) noStranger(candidate string, frozen []elect.Replica) error {
-	gu.me.mu.Lock()
-	vi := gu.me.view
-	gu.me.mu.Unlock()
-	gu.mu.Lock()
-	leader := gu.leader
-	gu.mu.Unlock()
+	vi, leader := gu.me.listing(), gu.currentLeader()
 	for _, up := range vi.Members(gu.name) {
 		isKnown := up.ID == candidate || up.ID == leader
 		for _, re := range frozen {
--- a/io/member/follow.go
+++ b/io/member/follow.go
@@ -139,6 +139,13 @@
 	return revision, nil
 }
 
+// listing returns the listing of upstreams as last known.
+func (me *Member) listing() group.View {
+	me.mu.Lock()
+	defer me.mu.Unlock()
+	return me.view
+}
+
 // setView replaces the listing and logs what changed.
 func (me *Member) setView(change func(group.View) group.View) {
 	me.mu.Lock()
--- a/io/member/guard.go
+++ b/io/member/guard.go
@@ -75,9 +75,7 @@
 		if !isHolder {
 			continue
 		}
-		gs.me.mu.Lock()
-		vi := gs.me.view
-		gs.me.mu.Unlock()
+		vi := gs.me.listing()
 		for _, op := range gs.me.engine.Opinions() {
 			gs.get(op.Group, now).visit(ctx, vi, op)
 		}
@@ -146,6 +144,13 @@
 	}
 }
 
+// currentLeader returns the upstream under watch.
+func (gu *guard) currentLeader() string {
+	gu.mu.Lock()
+	defer gu.mu.Unlock()
+	return gu.leader
+}
+
 // visit runs one round.
 func (gu *guard) visit(ctx context.Context, vi group.View, op engine.Opinion) {
 	now := gu.me.seams.Now()
--- a/io/member/member.go
+++ b/io/member/member.go
@@ -78,6 +78,7 @@
 	roster   *roster
 	peers    *peers
 	opinions *opinions
+	relays   *pool.Server
 	metrics  *metric.Metrics
 	guards   *guards
 
@@ -97,6 +98,7 @@
 func New(se Settings, sm Seams, lg *slog.Logger) *Member {
 	me := &Member{settings: se, seams: sm, log: lg, catalog: catlg.NewKeeper(), started: sm.Now()}
 	me.life = life.New(nil)
+	me.relays = pool.NewServer(sm.Now, me.poolFor)
 	me.roster = newRoster(me)
 	me.peers = newPeers(me)
 	me.opinions = newOpinions()
@@ -214,12 +216,21 @@
 				event.Log(me.log, event.PluginFailed, "error", err)
 				return
 			}
-			go pool.ServeRelay(raw, me.seams.Now, me.engine.GetPoolByUpstream)
+			go me.relays.Serve(raw)
 		}
 	}()
 	return nil
 }
 
+// poolFor returns the pool for another member's batch. A leaving member takes no
+// new ones, so that they go to another home.
+func (me *Member) poolFor(upstream string) *pool.Pool {
+	if me.life.State() == life.Leaving {
+		return nil
+	}
+	return me.engine.GetPoolByUpstream(upstream)
+}
+
 // tick does what is due again and again.
 func (me *Member) tick(ctx context.Context) {
 	maintainAt := me.seams.Now()
@@ -278,7 +289,7 @@
 	time.Sleep(min(stillTaking, me.settings.Grace*takingShare/100))
 	_ = me.listener.Close()
 	last := began.Add(me.settings.Grace * endShare / 100)
-	for me.engine.Sessions() > 0 && me.seams.Now().Before(last) {
+	for me.engine.Sessions()+me.relays.Held() > 0 && me.seams.Now().Before(last) {
 		time.Sleep(leavePoll)
 	}
 	me.engine.Close()
--- a/io/member/peer.go
+++ b/io/member/peer.go
@@ -15,6 +15,7 @@
 	"banyanspring/core/catlg"
 	"banyanspring/core/evid"
 	"banyanspring/core/group"
+	"banyanspring/core/life"
 	"banyanspring/core/posn"
 	"banyanspring/io/delay"
 )
@@ -65,6 +66,8 @@
 
 // reply is what a source knows and the asker lacks.
 type reply struct {
+	// Leaving is true if the source is on its way out, and holds no duty.
+	Leaving bool `json:"leaving,omitempty"`
 	// Catalog is nil if the asker's is as new.
 	Catalog *catlg.Document `json:"catalog,omitempty"`
 	// CatalogMs and ListingMs are how long ago the store last confirmed them;
@@ -139,6 +142,7 @@
 // reply returns what the asker lacks.
 func (me *Member) reply(qu question, now time.Time) reply {
 	re := reply{
+		Leaving:   me.life.State() == life.Leaving,
 		CatalogMs: ageMs(me.catalogAt.load(), now),
 		ListingMs: ageMs(me.listingAt.load(), now),
 		Evidence:  me.evidence(now),
@@ -149,9 +153,7 @@
 		doc := ca.Document()
 		re.Catalog = &doc
 	}
-	me.mu.Lock()
-	vi := me.view
-	me.mu.Unlock()
+	vi := me.listing()
 	if vi.Revision > qu.Listing {
 		re.Listing = &listing{Revision: vi.Revision, Upstreams: vi.All()}
 	}
@@ -223,11 +225,8 @@
 	defer cancel()
 	me := ps.me
 	asked := me.seams.Now()
-	me.mu.Lock()
-	revision := me.view.Revision
-	me.mu.Unlock()
 	qu := question{
-		From: me.settings.Name, Catalog: me.catalog.Current().Version, Listing: revision, Members: me.roster.revisionKnown(),
+		From: me.settings.Name, Catalog: me.catalog.Current().Version, Listing: me.listing().Revision, Members: me.roster.revisionKnown(),
 		Opinions: me.words(asked),
 	}
 	var re reply
@@ -236,6 +235,10 @@
 	if err != nil {
 		return false
 	}
+	if re.Leaving {
+		me.roster.gone(source.Name)
+		return true
+	}
 	me.learn(re, asked)
 	return true
 }
--- a/io/member/roster.go
+++ b/io/member/roster.go
@@ -397,6 +397,17 @@
 	}
 }
 
+// gone notes that a member is leaving, before its object is gone.
+func (ro *roster) gone(name string) {
+	ro.mu.Lock()
+	defer ro.mu.Unlock()
+	if kn := ro.members[name]; kn != nil && kn.failures < failuresDown {
+		kn.failures = failuresDown
+		kn.retryAt = ro.me.seams.Now().Add(retryLost)
+		event.Log(ro.me.log, event.PeerLeaving, "peer", name)
+	}
+}
+
 const (
 	// failuresDown is how many exchanges in a row must fail before a member
 	// counts as gone; one may meet a dead connection.
--- a/io/pool/pool.go
+++ b/io/pool/pool.go
@@ -303,26 +303,23 @@
 
 // Sweep closes connections that were unused for too long or are over the quota.
 func (po *Pool) Sweep() {
-	po.trim()
 	now := po.seams.Now()
-	for {
-		po.mu.Lock()
-		if len(po.idle) == 0 || now.Sub(po.idle[0].lastUsed) < po.settings.IdleTimeout {
-			po.mu.Unlock()
-			return
-		}
-		co := po.idle[0]
-		po.idle = po.idle[1:]
-		po.mu.Unlock()
-		po.drop(co)
-	}
+	po.closeWhile(func(oldest *Conn) bool {
+		return int(po.open.Load()) > po.quota || now.Sub(oldest.lastUsed) >= po.settings.IdleTimeout
+	})
 }
 
-// trim closes idle connections over the quota, longest unused first.
+// trim closes idle connections over the quota.
 func (po *Pool) trim() {
+	po.closeWhile(func(*Conn) bool { return int(po.open.Load()) > po.quota })
+}
+
+// closeWhile closes idle connections, longest unused first, while the condition
+// holds for the next one; mu is held when it is asked.
+func (po *Pool) closeWhile(condition func(oldest *Conn) bool) {
 	for {
 		po.mu.Lock()
-		if len(po.idle) == 0 || int(po.open.Load()) <= po.quota {
+		if len(po.idle) == 0 || !condition(po.idle[0]) {
 			po.mu.Unlock()
 			return
 		}
--- a/io/pool/relay.go
+++ b/io/pool/relay.go
@@ -5,6 +5,7 @@
 	"net"
 	"os"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -273,21 +274,36 @@
 	return out
 }
 
-// lease is what one link holds at this home.
-type lease struct {
-	// find returns the pool of an upstream, or nil if it is not known.
+// Server runs the batches of other instances. It is safe for concurrent use.
+type Server struct {
+	// find returns the pool of an upstream, or nil if this instance is not, or
+	// no longer, its home.
 	find func(upstream string) *Pool
 	now  func() time.Time
+	held atomic.Int32
+}
+
+// NewServer returns a server that holds nothing.
+func NewServer(now func() time.Time, find func(upstream string) *Pool) *Server {
+	return &Server{find: find, now: now}
+}
+
+// Held returns how many connections are kept for transactions of others.
+func (sv *Server) Held() int { return int(sv.held.Load()) }
+
+// lease is what one link holds at this home.
+type lease struct {
+	*Server
 	// conn is nil unless a transaction is kept open for the link.
 	conn *Conn
 	id   string
 }
 
-// ServeRelay runs the batches that come over a link until it ends. What it
-// holds is rolled back then.
-func ServeRelay(raw net.Conn, now func() time.Time, find func(upstream string) *Pool) {
+// Serve runs the batches that come over a link until it ends. What it holds is
+// rolled back then.
+func (sv *Server) Serve(raw net.Conn) {
 	defer func() { _ = raw.Close() }()
-	le := &lease{find: find, now: now}
+	le := &lease{Server: sv}
 	defer le.end()
 	enc, dec := cbor.NewEncoder(raw), cbor.NewDecoder(raw)
 	for {
@@ -310,6 +326,7 @@
 	if le.conn != nil {
 		le.conn.pool.Discard(le.conn)
 		le.conn = nil
+		le.held.Add(-1)
 	}
 }
 
@@ -328,6 +345,7 @@
 			return resultsMessage{Refusal: uint32(ref.Code), Detail: ref.Detail}
 		}
 		le.conn, le.id = co, msg.Upstream
+		le.held.Add(1)
 	}
 	if le.id != msg.Upstream {
 		return resultsMessage{Refusal: uint32(codes.InvariantBroken), Detail: "link holds " + le.id}
@@ -354,6 +372,7 @@
 	case state == stmt.Idle:
 		le.conn.pool.Release(le.conn)
 		le.conn = nil
+		le.held.Add(-1)
 	case !msg.Keep:
 		le.end()
 	}
