Start a member by plug-ins, as the daemon does

Cause: the member started its parts by hand beside the kernel that the daemon uses. Behaviour is the same.

--- a/io/member/member.go
+++ b/io/member/member.go
@@ -13,6 +13,7 @@
 	"banyanspring/core/catlg"
 	"banyanspring/core/event"
 	"banyanspring/core/group"
+	"banyanspring/core/kernl"
 	"banyanspring/core/life"
 	"banyanspring/core/place"
 	"banyanspring/io/delay"
@@ -82,6 +83,7 @@
 	metrics  *metric.Metrics
 	guards   *guards
 
+	kernel   *kernl.Kernel[*Member]
 	listener net.Listener
 	// catalogAt and listingAt are when the store last confirmed what is known.
 	catalogAt, listingAt instant
@@ -163,46 +165,6 @@
 	retryPause = 200 * time.Millisecond
 )
 
-// Start begins to serve; it waits for nothing but its own addresses.
-func (me *Member) Start(ctx context.Context) error {
-	event.Log(me.log, event.DaemonStarting, "name", me.settings.Name, "domain", me.settings.Site.Domain,
-		"region", me.settings.Site.Region, "address", me.settings.CallerAddress)
-	var err error
-	me.listener, err = net.Listen("tcp", me.settings.CallerAddress)
-	if err != nil {
-		return errors.Wrap(err, "listen for callers")
-	}
-	if err := me.peers.serve(); err != nil {
-		return err
-	}
-	if err := me.serveRelays(); err != nil {
-		return err
-	}
-	go me.accept()
-	go me.followCatalog(ctx)
-	go me.followListing(ctx)
-	go me.roster.follow(ctx)
-	go me.peers.follow(ctx)
-	go me.guards.run(ctx)
-	go me.tick(ctx)
-	return nil
-}
-
-func (me *Member) accept() {
-	for {
-		raw, err := me.listener.Accept()
-		if errors.Is(err, net.ErrClosed) {
-			return
-		}
-		if err != nil {
-			event.Log(me.log, event.PluginFailed, "error", err)
-			time.Sleep(retryPause)
-			continue
-		}
-		go me.engine.Serve(raw)
-	}
-}
-
 // serveRelays runs the batches of other members on the connections here.
 func (me *Member) serveRelays() error {
 	ln, err := net.Listen("tcp", me.settings.RelayAddress)
@@ -269,43 +231,3 @@
 		event.Log(me.log, event.DaemonServing, "catalog_version", me.catalog.Current().Version)
 	}
 }
-
-// Sessions returns how many callers' sessions are open.
-func (me *Member) Sessions() int { return me.engine.Sessions() }
-
-// Shutdown lets callers end their work and returns when the member may exit.
-func (me *Member) Shutdown(ctx context.Context) {
-	if err := me.life.Leave(); err != nil {
-		return
-	}
-	began := me.seams.Now()
-	event.Log(me.log, event.DaemonLeaving, "sessions", me.engine.Sessions())
-	go me.roster.leave(ctx)
-	// Open transactions have the first half of the grace.
-	me.engine.Leave(began.Add(me.settings.Grace / 2))
-	// Sessions on their way are still taken for a while: a balancer looks once a
-	// second and needs two misses, and uses members that are not ready if it
-	// has too few others. Then what was taken is answered.
-	time.Sleep(min(stillTaking, me.settings.Grace*takingShare/100))
-	_ = me.listener.Close()
-	last := began.Add(me.settings.Grace * endShare / 100)
-	for me.engine.Sessions()+me.relays.Held() > 0 && me.seams.Now().Before(last) {
-		time.Sleep(leavePoll)
-	}
-	me.engine.Close()
-	me.metrics.Close()
-	_ = me.life.Stop()
-	event.Log(me.log, event.DaemonStopped, "sessions", me.engine.Sessions(), "took", me.seams.Now().Sub(began).String())
-}
-
-const (
-	// stillTaking is how long a leaving member takes sessions.
-	stillTaking = 2500 * time.Millisecond
-	// takingShare bounds that to a part of the grace, in hundredths.
-	takingShare = 42
-	// endShare is the part of the grace, in hundredths, after which the member
-	// exits whatever is open.
-	endShare = 93
-	// leavePoll is the pause between two looks for open sessions.
-	leavePoll = 50 * time.Millisecond
-)
