Let go of replicas that were left frozen

Cause: reading the change of leader: a holder that dies after the freeze, or whose order to let go is lost, leaves a replica that never receives again; reads see it as behind for good, and with both frozen no write is acknowledged. Change: a holder surveys the replicas 3 s after it took the duty, and 1 s after an order that was not answered. It raises the fence with a call for the present leader first, so that no call of its predecessor can follow that relied on the freeze.

--- a/core/event/event.go
+++ b/core/event/event.go
@@ -47,6 +47,7 @@
 	PrimarySuspected ID = 313
 	HandoverDone     ID = 314
 	TermLearned      ID = 315
+	ReplicasThawed   ID = 316
 
 	PeerUnreached  ID = 401
 	PeerLeaving    ID = 403
@@ -116,6 +117,8 @@
 	{HandoverDone, slog.LevelInfo, "handover_done", "A planned change of primary was carried out."},
 	{TermLearned, slog.LevelInfo, "term_learned", "The daemon learned of a newer term, from the platform or from a peer."},
 
+	{ReplicasThawed, slog.LevelWarn, "replicas_thawed", "Replicas that a change of primary had left frozen were told to receive again."},
+
 	{PeerUnreached, slog.LevelWarn, "peer_unreached", "Another daemon cannot be reached."},
 	{PeerLeaving, slog.LevelInfo, "peer_leaving", "Another daemon said that it is leaving."},
 
--- a/io/member/change.go
+++ b/io/member/change.go
@@ -224,8 +224,45 @@
 }
 
 // thaw lets frozen replicas receive again after a change that did not go on.
+// Those that cannot be told are remembered.
 func (gu *guard) thaw(frozen []group.Upstream) {
-	gu.each(frozen, func(co *pool.Conn, deadline time.Time) (pool.Report, error) { return co.Unfreeze(deadline) })
+	answers := gu.each(frozen, func(co *pool.Conn, deadline time.Time) (pool.Report, error) { return co.Unfreeze(deadline) })
+	for _, an := range answers {
+		if an.err != nil {
+			gu.mu.Lock()
+			gu.surveyAt = gu.me.seams.Now().Add(surveyRetry)
+			gu.mu.Unlock()
+			return
+		}
+	}
+}
+
+// survey looks for replicas that an earlier holder of the duty, or an order that
+// was not answered, has left frozen, and lets them receive. The fence is raised
+// first: a call of the earlier holder must not follow, since it would rely on
+// the replicas being frozen.
+func (gu *guard) survey(ctx context.Context, members []group.Upstream, leader string) {
+	answers := gu.each(others(members, leader), func(co *pool.Conn, deadline time.Time) (pool.Report, error) {
+		return co.Status(deadline)
+	})
+	var frozen []group.Upstream
+	for _, up := range members {
+		if an, ok := answers[up.ID]; ok && an.err == nil && an.report.Frozen > 0 {
+			frozen = append(frozen, up)
+		}
+	}
+	if len(frozen) > 0 {
+		token, _ := gu.me.roster.Token()
+		err := gu.call(ctx, leader, token)
+		event.Log(gu.me.log, event.ReplicasThawed, "group", gu.name, "replicas", len(frozen), "leader", leader, "token", token,
+			"error", errText(err))
+		if err == nil {
+			gu.thaw(frozen)
+		}
+	}
+	gu.mu.Lock()
+	defer gu.mu.Unlock()
+	gu.isChanging = false
 }
 
 // appoint calls the candidate to lead and waits until it does. A call without
--- a/io/member/guard.go
+++ b/io/member/guard.go
@@ -40,6 +40,11 @@
 	// each further one up to changeRetryMost.
 	changeRetry     = 100 * time.Millisecond
 	changeRetryMost = 1600 * time.Millisecond
+	// surveyAfter is how long after taking the duty a holder looks for replicas
+	// that its predecessor left frozen: changes under way are over by then.
+	surveyAfter = 3 * time.Second
+	// surveyRetry is kept before another look.
+	surveyRetry = time.Second
 	// catchUpTries is how often a candidate that is behind is looked at again.
 	catchUpTries = 4
 	// catchUpPause is kept between two looks at a candidate that is behind.
@@ -107,7 +112,7 @@
 	defer gs.mu.Unlock()
 	gu := gs.groups[name]
 	if gu == nil {
-		gu = &guard{me: gs.me, name: name, pools: make(map[string]*pool.Pool), watchedSince: now}
+		gu = &guard{me: gs.me, name: name, pools: make(map[string]*pool.Pool), watchedSince: now, surveyAt: now.Add(surveyAfter)}
 		gs.groups[name] = gu
 	}
 	return gu
@@ -130,6 +135,9 @@
 	changedAt    time.Time
 	// isAsking and isChanging are true while such work is under way.
 	isAsking, isChanging bool
+	// surveyAt is when to look for replicas that were left frozen; zero if there
+	// is no reason to.
+	surveyAt time.Time
 	// failures counts changes that did not go on, in a row.
 	failures int
 	retryAt  time.Time
@@ -158,6 +166,7 @@
 	gu.mu.Lock()
 	defer gu.mu.Unlock()
 	gu.keepPools(members)
+	defer gu.beginSurvey(ctx, members, now)
 	if op.Leader != "" && op.Leader != gu.leader {
 		if gu.leader != "" {
 			// Somebody else has changed the lead.
@@ -195,6 +204,16 @@
 	go gu.change(ctx, reason)
 }
 
+// beginSurvey looks for frozen replicas if that is due; mu is held.
+func (gu *guard) beginSurvey(ctx context.Context, members []group.Upstream, now time.Time) {
+	if gu.isChanging || gu.leader == "" || gu.surveyAt.IsZero() || now.Before(gu.surveyAt) {
+		return
+	}
+	gu.surveyAt = time.Time{}
+	gu.isChanging = true
+	go gu.survey(ctx, members, gu.leader)
+}
+
 // keepPools drops the connections to members that are gone; mu is held.
 func (gu *guard) keepPools(members []group.Upstream) {
 	for id, po := range gu.pools {
