Hand the lead of a crowded group to a replica that is behind

The leader alone had all reads, for which its two slots have no room. Promotion goes by what was received: a promoted replica leads with all of it, and the old leader follows with a log that is applied. Ruled out: floors that are too high (they were 1.5 to 2.4 s old, as they should be), frozen replicas, homes. Change: reads that found the replicas behind and the leader full are counted and told in the opinions; when twenty were refused and no replica served a read for 1.5 s, the lead is handed over, at most once in 6 s. TestCrowdedLeaderWithoutReplicasIsMoved.

--- a/core/elect/elect.go
+++ b/core/elect/elect.go
@@ -32,6 +32,11 @@
 	// WroteAt is when the leader last answered a write; zero if never. A leader
 	// that answers some writes is busy and not stalled.
 	WroteAt time.Time
+	// CrowdedReads counts reads that the leader lately had no time for, after all
+	// replicas had refused them as behind.
+	CrowdedReads int
+	// ReplicaAt is when a replica last served a read; zero if never.
+	ReplicaAt time.Time
 }
 
 // Timing holds the times that suspicion works with.
@@ -43,6 +48,8 @@
 	// Partial is how long a part of the instances may miss the leader, and how
 	// long it may answer no write.
 	Partial time.Duration
+	// Crowded is how long no replica may have served a read.
+	Crowded time.Duration
 	// Fresh is how old an opinion may be.
 	Fresh time.Duration
 	// Spacing is the least time between two changes that are not forced by the
@@ -65,6 +72,11 @@
 	Unreached Reason = "unreached"
 	// Stalled leaders answer, but acknowledge no write.
 	Stalled Reason = "stalled"
+	// Crowded leaders have all reads to themselves, since no replica applies its
+	// log in time, and no room for them. A replica that is promoted leads with
+	// all that it has received, and the old leader follows it with a log that is
+	// applied, so that a change gives the group two upstreams for one.
+	Crowded Reason = "crowded"
 )
 
 const (
@@ -73,6 +85,9 @@
 	unreachedShare = 0.25
 	// stalledWrites is how many writes must hang: one may be an accident.
 	stalledWrites = 2
+	// crowdedReads is how many reads must have been refused: a change aborts the
+	// transactions under way, which are fewer.
+	crowdedReads = 20
 )
 
 // Evidence is what the holder of the duty knows of a group's leader.
@@ -98,7 +113,8 @@
 func Judge(ev Evidence, leader string, ti Timing, now time.Time) Reason {
 	heard := later(ev.HeardAt, ev.WatchedSince)
 	missing, stalled, fresh := 0, 0, 0
-	var wrote time.Time
+	var wrote, replica time.Time
+	crowded := 0
 	for _, op := range ev.Opinions {
 		if now.Sub(op.At) > ti.Fresh || op.Leader != leader {
 			continue
@@ -107,6 +123,8 @@
 		heard = later(heard, op.ProvenAt)
 		stalled += op.StalledWrites
 		wrote = later(wrote, op.WroteAt)
+		crowded += op.CrowdedReads
+		replica = later(replica, op.ReplicaAt)
 		if !op.UnreachedSince.IsZero() && now.Sub(op.UnreachedSince) > ti.Partial {
 			missing++
 		}
@@ -125,6 +143,8 @@
 		return Unreached
 	case stalled >= stalledWrites && now.Sub(wrote) > ti.Partial:
 		return Stalled
+	case crowded >= crowdedReads && now.Sub(replica) > ti.Crowded:
+		return Crowded
 	}
 	return None
 }
--- a/core/elect/elect_test.go
+++ b/core/elect/elect_test.go
@@ -17,6 +17,7 @@
 		Partial: 700 * time.Millisecond,
 		Fresh:   time.Second,
 		Spacing: 5 * time.Second,
+		Crowded: time.Second,
 	}
 )
 
@@ -69,6 +70,22 @@
 	require.Equal(t, Stalled, Judge(ev, "a", timing, now))
 }
 
+// Pattern replicas_behind_a_crowded_leader: all reads come to the leader, which
+// has no room for them.
+func TestCrowdedLeaderWithoutReplicasIsMoved(t *testing.T) {
+	now := after(2 * time.Second)
+	op := Opinion{Leader: "a", At: now, ProvenAt: now, CrowdedReads: 15, ReplicaAt: start}
+	ev := Evidence{IsListed: true, HeardAt: now, Opinions: []Opinion{op, op}}
+	require.Equal(t, Crowded, Judge(ev, "a", timing, now))
+	ev.Opinions[1].ReplicaAt = after(1500 * time.Millisecond)
+	require.Equal(t, None, Judge(ev, "a", timing, now))
+	ev.Opinions = []Opinion{op}
+	require.Equal(t, None, Judge(ev, "a", timing, now))
+	ev.Opinions = []Opinion{op, op}
+	ev.ChangedAt = after(-time.Second)
+	require.Equal(t, None, Judge(ev, "a", timing, now))
+}
+
 func TestOldOpinionsCountForNothing(t *testing.T) {
 	now := after(3 * time.Second)
 	ev := Evidence{IsListed: true, HeardAt: now, Opinions: []Opinion{{Leader: "a", At: start, UnreachedSince: start, StalledWrites: 5}}}
--- a/io/engine/engine.go
+++ b/io/engine/engine.go
@@ -209,6 +209,10 @@
 	StalledWrites int
 	// WroteAt is when Leader last answered a write; zero if never.
 	WroteAt time.Time
+	// CrowdedReads counts reads that found the replicas behind and Leader full,
+	// and ReplicaAt is when a replica last served one.
+	CrowdedReads int
+	ReplicaAt    time.Time
 }
 
 // Opinions returns what is known of all groups' leaders.
--- a/io/engine/group.go
+++ b/io/engine/group.go
@@ -25,6 +25,12 @@
 	leader *upstream
 	// readAt is when a read last needed evidence.
 	readAt time.Time
+	// crowded counts the reads refused since crowdedAt: the leader had no time
+	// for them and the replicas were behind.
+	crowded   int
+	crowdedAt time.Time
+	// replicaAt is when a replica last served a read.
+	replicaAt time.Time
 	// seeking is true while the members are asked who leads.
 	seeking bool
 }
@@ -163,6 +169,26 @@
 	gr.track.Add(sa)
 }
 
+// crowdMemory is for how long refused reads count.
+const crowdMemory = 2 * time.Second
+
+// noteCrowd notes a read that found the replicas behind and the leader full.
+func (gr *groupState) noteCrowd(now time.Time) {
+	gr.mu.Lock()
+	defer gr.mu.Unlock()
+	if now.Sub(gr.crowdedAt) > crowdMemory {
+		gr.crowded, gr.crowdedAt = 0, now
+	}
+	gr.crowded++
+}
+
+// noteReplica notes that a replica served a read.
+func (gr *groupState) noteReplica(now time.Time) {
+	gr.mu.Lock()
+	defer gr.mu.Unlock()
+	gr.replicaAt = now
+}
+
 // heardOf takes a peer's proof that a member leads.
 func (gr *groupState) heardOf(id string, provenAt time.Time) {
 	gr.mu.Lock()
@@ -192,6 +218,10 @@
 	op.Leader = gr.leader.id()
 	op.ProvenAt = gr.claims[op.Leader].provenAt
 	op.StalledWrites = gr.leader.stalledLately(now)
+	op.ReplicaAt = gr.replicaAt
+	if now.Sub(gr.crowdedAt) <= crowdMemory {
+		op.CrowdedReads = gr.crowded
+	}
 	if at := gr.leader.wroteAt.Load(); at != 0 {
 		op.WroteAt = time.Unix(0, at)
 	}
--- a/io/engine/single.go
+++ b/io/engine/single.go
@@ -37,6 +37,8 @@
 	last *codes.Refusal
 	// isLastRound is true once a read has tried each member that may serve it.
 	isLastRound bool
+	// wasBehind is true once a replica has refused the read as behind.
+	wasBehind bool
 }
 
 const (
@@ -232,6 +234,24 @@
 	up.pool.Release(co)
 }
 
+// noteServed counts a read above a floor.
+func (tr *try) noteServed(up *upstream) {
+	if leader, _ := tr.gr.currentLeader(); leader == up {
+		tr.en.Counts.Leader.Add(1)
+		return
+	}
+	tr.en.Counts.Replica.Add(1)
+	tr.gr.noteReplica(tr.en.seams.Now())
+}
+
+// noteCrowd notes a read that was refused for want of time after a replica had
+// refused it as behind.
+func (tr *try) noteCrowd(ref *codes.Refusal) {
+	if ref.Code == codes.DeadlineUnmet && tr.wasBehind {
+		tr.gr.noteCrowd(tr.en.seams.Now())
+	}
+}
+
 // refusedAt notes what an upstream's refusal says of it.
 func (tr *try) refusedAt(up *upstream, res stmt.Result) *codes.Refusal {
 	now := tr.en.seams.Now()
@@ -240,6 +260,7 @@
 		tr.gr.denied(up, now)
 	case codes.Behind:
 		up.noteBehind(now)
+		tr.wasBehind = true
 	}
 	return codes.Refuse(res.Code, "%s: %s", up.id(), res.Detail)
 }
@@ -258,6 +279,7 @@
 		}
 		// A read leaves nothing behind, so that it may run again.
 		if ref.Code == codes.Timeout || !tr.again(up, ref) {
+			tr.noteCrowd(ref)
 			return stmt.Result{}, ref
 		}
 	}
@@ -284,7 +306,7 @@
 		return stmt.Result{}, tr.refusedAt(up, results[0])
 	}
 	up.noteApplied(results[0].Position)
-	tr.en.Counts.Replica.Add(1)
+	tr.noteServed(up)
 	return results[0], nil
 }
 
--- a/io/engine/trans.go
+++ b/io/engine/trans.go
@@ -62,6 +62,7 @@
 		// Nothing of the transaction is kept before its commit, so that its
 		// first statement may run again elsewhere.
 		if ref.Code == codes.Timeout || !tr.again(up, ref) {
+			tr.noteCrowd(ref)
 			return stmt.Result{}, ref
 		}
 	}
@@ -99,7 +100,7 @@
 	if fl.atLeader {
 		tx.en.Counts.Leader.Add(1)
 	} else {
-		tx.en.Counts.Replica.Add(1)
+		tr.noteServed(up)
 	}
 	tx.conn, tx.up = co, up
 	tx.wrote = tr.rq.st.IsWrite()
--- a/io/member/guard.go
+++ b/io/member/guard.go
@@ -58,6 +58,7 @@
 	Partial: 700 * time.Millisecond,
 	Fresh:   opinionFresh,
 	Spacing: 6 * time.Second,
+	Crowded: 1500 * time.Millisecond,
 }
 
 // guards watches over all groups while this member holds the duty.
@@ -192,7 +193,7 @@
 	}
 	ev.Opinions = append(ev.Opinions, elect.Opinion{
 		Leader: op.Leader, At: now, ProvenAt: op.ProvenAt, UnreachedSince: op.UnreachedSince,
-		StalledWrites: op.StalledWrites, WroteAt: op.WroteAt,
+		StalledWrites: op.StalledWrites, WroteAt: op.WroteAt, CrowdedReads: op.CrowdedReads, ReplicaAt: op.ReplicaAt,
 	})
 	reason := elect.Judge(ev, gu.leader, timing, now)
 	if reason == elect.None || now.Before(gu.retryAt) || len(members) < 2 {
--- a/io/member/opinions.go
+++ b/io/member/opinions.go
@@ -55,6 +55,7 @@
 		wo.ProvenMs = older(wo.ProvenMs, passed)
 		wo.UnreachedMs = older(wo.UnreachedMs, passed)
 		wo.WroteMs = older(wo.WroteMs, passed)
+		wo.ReplicaMs = older(wo.ReplicaMs, passed)
 		wo.SampleMs = older(wo.SampleMs, passed+1)
 		out = append(out, wo)
 	}
@@ -85,6 +86,8 @@
 			UnreachedSince: before(he, he.word.UnreachedMs),
 			StalledWrites:  he.word.Stalled,
 			WroteAt:        before(he, he.word.WroteMs),
+			CrowdedReads:   he.word.Crowded,
+			ReplicaAt:      before(he, he.word.ReplicaMs),
 		})
 	}
 	return out
--- a/io/member/peer.go
+++ b/io/member/peer.go
@@ -44,11 +44,13 @@
 	Group  string `json:"group"`
 	Leader string `json:"leader,omitempty"`
 	AgeMs  int64  `json:"age,omitempty"`
-	// ProvenMs, UnreachedMs and WroteMs are zero if there is none.
+	// ProvenMs, UnreachedMs, WroteMs and ReplicaMs are zero if there is none.
 	ProvenMs    int64 `json:"proven,omitempty"`
 	UnreachedMs int64 `json:"unreached,omitempty"`
 	Stalled     int   `json:"stalled,omitempty"`
 	WroteMs     int64 `json:"wrote,omitempty"`
+	Crowded     int   `json:"crowded,omitempty"`
+	ReplicaMs   int64 `json:"replica,omitempty"`
 	// Term and Offset are the newest evidence, SampleMs old; zero if none.
 	Term     uint64 `json:"term,omitempty"`
 	Offset   uint64 `json:"offset,omitempty"`
@@ -331,6 +333,8 @@
 			UnreachedMs: ageMs(op.UnreachedSince, now),
 			Stalled:     op.StalledWrites,
 			WroteMs:     ageMs(op.WroteAt, now),
+			Crowded:     op.CrowdedReads,
+			ReplicaMs:   ageMs(op.ReplicaAt, now),
 		})
 	}
 	return append(out, me.opinions.fresh(now)...)
