--- a/core/elect/elect.go
+++ b/core/elect/elect.go
@@ -109,27 +109,43 @@
 	Opinions []Opinion
 }
 
-// Judge returns whether the leader is to be replaced, and why.
-func Judge(ev Evidence, leader string, ti Timing, now time.Time) Reason {
-	heard := later(ev.HeardAt, ev.WatchedSince)
-	missing, stalled, fresh := 0, 0, 0
-	var wrote, replica time.Time
-	crowded := 0
+// summary is what the fresh opinions say together.
+type summary struct {
+	// fresh counts the opinions, and missing those that cannot reach the leader.
+	fresh, missing           int
+	stalled, crowded         int
+	heardAt, wroteAt, readAt time.Time
+}
+
+// summarize adds up the opinions that are fresh and about the leader.
+func summarize(ev Evidence, leader string, ti Timing, now time.Time) summary {
+	su := summary{heardAt: later(ev.HeardAt, ev.WatchedSince)}
 	for _, op := range ev.Opinions {
 		if now.Sub(op.At) > ti.Fresh || op.Leader != leader {
 			continue
 		}
-		fresh++
-		heard = later(heard, op.ProvenAt)
-		stalled += op.StalledWrites
-		wrote = later(wrote, op.WroteAt)
-		crowded += op.CrowdedReads
-		replica = later(replica, op.ReplicaAt)
+		su.fresh++
+		su.heardAt = later(su.heardAt, op.ProvenAt)
+		su.wroteAt = later(su.wroteAt, op.WroteAt)
+		su.readAt = later(su.readAt, op.ReplicaAt)
+		su.stalled += op.StalledWrites
+		su.crowded += op.CrowdedReads
 		if !op.UnreachedSince.IsZero() && now.Sub(op.UnreachedSince) > ti.Partial {
-			missing++
+			su.missing++
 		}
 	}
-	silence := now.Sub(heard)
+	return su
+}
+
+// isUnreached reports whether a good part of the instances misses the leader.
+func (su summary) isUnreached() bool {
+	return su.missing > 0 && float64(su.missing) >= unreachedShare*float64(su.fresh)
+}
+
+// Judge returns whether the leader is to be replaced, and why.
+func Judge(ev Evidence, leader string, ti Timing, now time.Time) Reason {
+	su := summarize(ev, leader, ti, now)
+	silence := now.Sub(su.heardAt)
 	if silence > ti.Silence || (ev.Refused && silence > ti.Refusal) {
 		return Dead
 	}
@@ -139,11 +155,11 @@
 	switch {
 	case ev.IsLeaving:
 		return Leaving
-	case fresh > 0 && float64(missing) >= unreachedShare*float64(fresh) && missing > 0:
+	case su.isUnreached():
 		return Unreached
-	case stalled >= stalledWrites && now.Sub(wrote) > ti.Partial:
+	case su.stalled >= stalledWrites && now.Sub(su.wroteAt) > ti.Partial:
 		return Stalled
-	case crowded >= crowdedReads && now.Sub(replica) > ti.Crowded:
+	case su.crowded >= crowdedReads && now.Sub(su.readAt) > ti.Crowded:
 		return Crowded
 	}
 	return None
