Let a refused holder keep the duty with its newer token

While the fleet was split, a member of a late token raised the fence. When a leader left later, each holder in turn was refused, drew a newer token and so went to the end of the line; the leader was not replaced within 7 s. Ruled out: the order of freezing (it was clear each time), the store (up all the while). Change: members are ranked by their first token; a newer one does not change the rank.

--- a/io/member/roster.go
+++ b/io/member/roster.go
@@ -36,6 +36,9 @@
 	Started int64 `json:"started"`
 	// Draws counts how often the member asked for a newer token.
 	Draws int `json:"draws"`
+	// Rank is the member's first token once it has drawn another, and 0 before:
+	// a newer token does not change who holds the duty.
+	Rank uint64 `json:"rank,omitempty"`
 }
 
 // member is what is known of one member.
@@ -53,6 +56,14 @@
 	heardAt time.Time
 }
 
+// rank orders the members for the duty.
+func (kn *known) rank() uint64 {
+	if kn.entry.Rank != 0 {
+		return kn.entry.Rank
+	}
+	return kn.token
+}
+
 // roster knows the members. It is safe for concurrent use.
 type roster struct {
 	me *Member
@@ -368,6 +379,14 @@
 	return ro.revision
 }
 
+// rank returns this member's rank, 0 if it has none; mu is held.
+func (ro *roster) rank() uint64 {
+	if ro.self.Rank != 0 {
+		return ro.self.Rank
+	}
+	return ro.token()
+}
+
 // Token returns this member's token, and false if it has none.
 func (ro *roster) Token() (uint64, bool) {
 	ro.mu.Lock()
@@ -383,6 +402,9 @@
 	if !ro.isTold || ro.revision != refused {
 		return
 	}
+	if ro.self.Rank == 0 {
+		ro.self.Rank = refused
+	}
 	ro.self.Draws++
 	ro.isTold = false
 	ro.prod()
@@ -441,7 +463,7 @@
 	ro.mu.Lock()
 	defer ro.mu.Unlock()
 	for _, kn := range ro.members {
-		if kn.failures < failuresDown || now.Before(kn.retryAt) || kn.token > ro.token() {
+		if kn.failures < failuresDown || now.Before(kn.retryAt) || kn.rank() > ro.rank() {
 			continue
 		}
 		kn.retryAt = now.Add(retryLost)
@@ -468,7 +490,7 @@
 	return out
 }
 
-// ranked returns the members that are there, oldest token first; mu is held.
+// ranked returns the members that are there, first in rank first; mu is held.
 func (ro *roster) ranked() []*known {
 	out := make([]*known, 0, len(ro.members))
 	for _, kn := range ro.members {
@@ -476,7 +498,7 @@
 			out = append(out, kn)
 		}
 	}
-	slices.SortFunc(out, func(left, right *known) int { return cmp.Compare(left.token, right.token) })
+	slices.SortFunc(out, func(left, right *known) int { return cmp.Compare(left.rank(), right.rank()) })
 	return out
 }
 
