Do not cut a session that is being opened, and drop dead code

Cause: TestLeavingMemberAnswersWhatItTookLate failed once (no session answered). Leaving interrupted every session's read, also the first one and one that had begun. Also: code that nothing calls is gone, and both askers of a leader share one question.

--- a/io/engine/engine.go
+++ b/io/engine/engine.go
@@ -184,16 +184,6 @@
 
 func (en *Engine) group(name string) *groupState { return (*en.groups.Load())[name] }
 
-// Groups returns the names of all groups known.
-func (en *Engine) Groups() []string {
-	groups := *en.groups.Load()
-	names := make([]string, 0, len(groups))
-	for name := range groups {
-		names = append(names, name)
-	}
-	return names
-}
-
 // Opinion is what the engine knows of a group's leader.
 type Opinion struct {
 	Group string
--- a/io/engine/seek.go
+++ b/io/engine/seek.go
@@ -18,10 +18,6 @@
 // prober is the name under which probes wait for connections.
 const prober = "probe"
 
-// lead is the round of statements that a leader alone answers; it takes no
-// slot and changes nothing.
-var lead = []stmt.Statement{{Kind: stmt.Begin}, {Kind: stmt.Rollback}}
-
 // seek asks all members who leads, without waiting. One question at a time is
 // under way in a group.
 func (en *Engine) seek(gr *groupState) {
@@ -53,7 +49,7 @@
 		return false
 	}
 	asked := en.seams.Now()
-	results, err := co.Run(pool.Batch{Statements: lead, AnyVars: true}, deadline)
+	results, err := co.Run(pool.Batch{Statements: pool.LeadQuestion, AnyVars: true}, deadline)
 	if err != nil {
 		var ref *codes.Refusal
 		if errors.As(err, &ref) {
--- a/io/engine/session.go
+++ b/io/engine/session.go
@@ -4,6 +4,7 @@
 	"bufio"
 	"net"
 	"os"
+	"sync"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -56,6 +57,10 @@
 	// answered counts statements on data that were answered.
 	answered int
 	opened   time.Time
+
+	mu sync.Mutex
+	// isWaiting is true between messages.
+	isWaiting bool
 }
 
 func newSession(en *Engine, raw net.Conn) *session {
@@ -64,7 +69,23 @@
 
 // interrupt ends the wait for the next message, so that the session looks at
 // whether it is to go on.
-func (se *session) interrupt() { _ = se.net.SetReadDeadline(time.Unix(1, 0)) }
+func (se *session) interrupt() {
+	se.mu.Lock()
+	defer se.mu.Unlock()
+	if se.isWaiting {
+		_ = se.net.SetReadDeadline(time.Unix(1, 0))
+	}
+}
+
+// setWaiting says whether the session waits for the next message, and until
+// when, on the system's clock. Only such a wait can be interrupted: a message
+// that has begun, the first one too, is read to its end.
+func (se *session) setWaiting(isWaiting bool, until time.Time) {
+	se.mu.Lock()
+	defer se.mu.Unlock()
+	se.isWaiting = isWaiting
+	_ = se.net.SetReadDeadline(until)
+}
 
 func (se *session) run() {
 	defer se.abandon()
@@ -142,13 +163,13 @@
 		return !se.isLeavingNow()
 	}
 	for {
-		_ = se.net.SetReadDeadline(se.patience())
+		se.setWaiting(true, se.patience())
 		if se.isLeavingNow() {
 			return false
 		}
 		_, err := se.rd.Peek(1)
 		if err == nil {
-			_ = se.net.SetReadDeadline(time.Now().Add(messageTimeout))
+			se.setWaiting(false, time.Now().Add(messageTimeout))
 			return true
 		}
 		if !errors.Is(err, os.ErrDeadlineExceeded) {
--- a/io/member/guard.go
+++ b/io/member/guard.go
@@ -13,7 +13,6 @@
 	"banyanspring/core/evid"
 	"banyanspring/core/group"
 	"banyanspring/core/posn"
-	"banyanspring/core/stmt"
 	"banyanspring/io/delay"
 	"banyanspring/io/engine"
 	"banyanspring/io/pool"
@@ -277,7 +276,7 @@
 	var leads bool
 	var at posn.Position
 	err := gu.with(up, deadline, func(co *pool.Conn) error {
-		results, err := co.Exchange(leadQuestion, deadline)
+		results, err := co.Exchange(pool.LeadQuestion, deadline)
 		if err == nil {
 			leads, at = results[0].Code == codes.OK, results[0].Position
 		}
@@ -286,9 +285,6 @@
 	return at, leads, err
 }
 
-// leadQuestion is the round of statements that a leader alone answers.
-var leadQuestion = []stmt.Statement{{Kind: stmt.Begin}, {Kind: stmt.Rollback}}
-
 // with runs work on the guard's own connection to an upstream; an error that is
 // no refusal closes it.
 func (gu *guard) with(up group.Upstream, deadline time.Time, work func(co *pool.Conn) error) error {
--- a/io/pool/conn.go
+++ b/io/pool/conn.go
@@ -10,7 +10,6 @@
 	"github.com/cockroachdb/errors"
 	"golang.org/x/sys/unix"
 
-	"banyanspring/core/codes"
 	"banyanspring/core/stmt"
 	"banyanspring/core/vars"
 )
@@ -72,9 +71,6 @@
 // IsOpen reports whether a transaction is open on the connection.
 func (co *Conn) IsOpen() bool { return co.state == stmt.Open }
 
-// Pool returns the pool that the connection belongs to.
-func (co *Conn) Pool() *Pool { return co.pool }
-
 func (co *Conn) hello(deadline time.Time) (stmt.Result, error) {
 	if err := co.setDeadline(deadline); err != nil {
 		return stmt.Result{}, err
@@ -206,14 +202,3 @@
 // peekAfter is how long a connection may have been unused before a look at
 // whether it was closed is worth a system call; closes take a round trip.
 const peekAfter = 20 * time.Millisecond
-
-// FirstFailure returns the first answer that is not a success, and the last
-// one if all are.
-func FirstFailure(results []stmt.Result) stmt.Result {
-	for _, res := range results {
-		if res.Code != codes.OK {
-			return res
-		}
-	}
-	return results[len(results)-1]
-}
--- a/io/pool/control.go
+++ b/io/pool/control.go
@@ -31,8 +31,6 @@
 	AppendFreeze func(buf []byte, term uint64) []byte
 	// AppendUnfreeze lets a replica receive again.
 	AppendUnfreeze func(buf []byte) []byte
-	// AppendStepDown makes a leader of a lower term a replica.
-	AppendStepDown func(buf []byte, term uint64) []byte
 	// ParseReport reads the answer to any of the orders.
 	ParseReport func(res stmt.Result) (Report, error)
 }
@@ -52,11 +50,6 @@
 	return co.order(co.pool.seams.AppendUnfreeze(co.buf[:0]), deadline)
 }
 
-// StepDown makes a leader of a lower term a replica.
-func (co *Conn) StepDown(term uint64, deadline time.Time) (Report, error) {
-	return co.order(co.pool.seams.AppendStepDown(co.buf[:0], term), deadline)
-}
-
 func (co *Conn) order(buf []byte, deadline time.Time) (Report, error) {
 	co.buf = buf
 	results, err := co.exchange(1, deadline)
--- a/io/pool/pool.go
+++ b/io/pool/pool.go
@@ -63,8 +63,6 @@
 	closed bool
 	// open counts connections, those under way included.
 	open atomic.Int32
-	// opened counts connections made since the start.
-	opened atomic.Int64
 	// nearest is the shortest connect time seen, a bound on the round trip.
 	nearest atomic.Int64
 }
@@ -143,9 +141,6 @@
 // Room returns how many requests may be under way at once.
 func (po *Pool) Room() int { return room(po.Quota()) }
 
-// Opened returns how many connections were made since the start.
-func (po *Pool) Opened() int64 { return po.opened.Load() }
-
 // RoundTrip returns a bound on the round trip to the upstream; zero if unknown.
 func (po *Pool) RoundTrip() time.Duration { return time.Duration(po.nearest.Load()) }
 
@@ -371,7 +366,6 @@
 		return nil, codes.Refuse(codes.UpstreamUnreached, "%v", err)
 	}
 	po.noteRoundTrip(po.seams.Now().Sub(asked))
-	po.opened.Add(1)
 	limitSilence(raw, po.settings.ConnectTimeout)
 	co := newConn(po, raw)
 	res, err := co.hello(asked.Add(wait))
@@ -417,3 +411,7 @@
 // check is the round of statements that tries a connection out: it takes no
 // slot and changes nothing.
 var check = []stmt.Statement{{Kind: stmt.BeginRead}, {Kind: stmt.Rollback}}
+
+// LeadQuestion is the round of statements that a leader alone answers with
+// success; it takes no slot and changes nothing.
+var LeadQuestion = []stmt.Statement{{Kind: stmt.Begin}, {Kind: stmt.Rollback}}
