Reach upstreams through deputies while no home is in reach

Cause: a fleet that is split in halves leaves each upstream without any of its two homes on one side in a quarter of the cases, though the upstream itself is in reach of both sides. Ruled out: the upstreams (reached by the other side all the while). Change: three further members an upstream, one of another failure domain, keep a tenth of the connections each for those who reach no home. A home that failed is tried again apart from the statements.

--- a/core/share/share.go
+++ b/core/share/share.go
@@ -1,6 +1,6 @@
 // Package share divides the few connections that an upstream takes among all
 // instances: evenly while each can have enough, or else to a few homes through
-// which the others reach it.
+// which the others reach it, and to deputies for those who reach no home.
 package share
 
 import (
@@ -34,6 +34,12 @@
 	// Homes holds the addresses of the homes, best first; empty if each
 	// instance has a quota.
 	Homes []string
+	// Deputies holds the addresses of the instances to go through while no home
+	// is in reach, best first.
+	Deputies []string
+	// IsDeputy is true if Quota is kept for those who reach no home, this
+	// instance included.
+	IsDeputy bool
 }
 
 const (
@@ -47,6 +53,13 @@
 	// a connection or a slot that is idle at one cannot serve another's callers;
 	// two keep the upstream in reach when one fails.
 	homesEach = 2
+	// deputiesEach is how many deputies an upstream has. A fleet that is split in
+	// halves leaves one of them without any of five instances once in 32, without
+	// any of two once in 4.
+	deputiesEach = 3
+	// deputyPart is the part of the connections that one deputy has: it serves
+	// few callers, and seldom.
+	deputyPart = 10
 )
 
 // Of returns self's share of the connections to an upstream, which stands at
@@ -59,20 +72,49 @@
 	if even := free / len(members); even >= enough {
 		return Share{Quota: even, Holders: len(members)}
 	}
-	homes := homesOf(upstream, at, homesEach, members)
+	ranked := rank(upstream, at, members)
+	homes := ranked[:min(homesEach, len(ranked))]
+	spare := max(1, free/deputyPart)
+	deputies := deputiesOf(ranked, homes, free, spare)
 	sh := Share{Holders: len(homes)}
 	for _, me := range homes {
 		if me.Name == self {
-			sh.Quota = max(1, free/len(homes))
+			sh.Quota = max(1, (free-spare*len(deputies))/len(homes))
 		}
 		sh.Homes = append(sh.Homes, me.Address)
 	}
+	for _, me := range deputies {
+		if me.Name == self {
+			sh.Quota, sh.IsDeputy = spare, true
+		}
+		sh.Deputies = append(sh.Deputies, me.Address)
+	}
 	return sh
 }
 
-// homesOf returns the homes of an upstream: members of its failure domain by
-// weighted rendezvous hashing, then others of its region, then any.
-func homesOf(upstream string, at place.Site, count int, members []Member) []Member {
+// deputiesOf returns the next members in rank, the last of them from another
+// failure domain, since the upstream may live on while its domain's instances
+// do not. There are none if the homes would have too little left.
+func deputiesOf(ranked, homes []Member, free, spare int) []Member {
+	rest := ranked[len(homes):]
+	if free-deputiesEach*spare < enough*len(homes) {
+		return nil
+	}
+	if len(rest) <= deputiesEach {
+		return rest
+	}
+	out := slices.Clone(rest[:deputiesEach-1])
+	for _, me := range rest[deputiesEach-1:] {
+		if me.Site.Domain != homes[0].Site.Domain {
+			return append(out, me)
+		}
+	}
+	return append(out, rest[deputiesEach-1])
+}
+
+// rank orders the members as homes of an upstream: those of its failure domain
+// by weighted rendezvous hashing, then others of its region, then the rest.
+func rank(upstream string, at place.Site, members []Member) []Member {
 	type scored struct {
 		member Member
 		tier   int
@@ -95,8 +137,8 @@
 		}
 		return cmp.Compare(right.score, left.score)
 	})
-	out := make([]Member, 0, count)
-	for _, sc := range all[:min(count, len(all))] {
+	out := make([]Member, 0, len(all))
+	for _, sc := range all {
 		out = append(out, sc.member)
 	}
 	return out
--- a/io/engine/engine.go
+++ b/io/engine/engine.go
@@ -152,8 +152,7 @@
 	if !ok {
 		return
 	}
-	sh := en.seams.Share(info, gr)
-	up.pool.SetShare(sh.Quota, sh.Holders, sh.Homes)
+	up.pool.SetShare(en.seams.Share(info, gr))
 }
 
 // Maintain applies changed shares and closes unused connections. It is called
--- a/io/engine/pick.go
+++ b/io/engine/pick.go
@@ -112,9 +112,9 @@
 	// One that has answered nothing yet is worth a try.
 	latency := max(up.expected(en.seams.Now()), en.trip(up, info.Domain))
 	slots := max(info.Slots, 1)
-	running, waiting := up.pool.Load()
+	running, room, waiting := up.pool.Load()
 	queued := int(up.pending.Load()) + waiting
-	if running >= up.pool.Room() {
+	if running >= room {
 		queued++
 	}
 	cost := latency + latency*time.Duration(queued)/time.Duration(slots)
--- a/io/member/guard.go
+++ b/io/member/guard.go
@@ -13,6 +13,7 @@
 	"banyanspring/core/evid"
 	"banyanspring/core/group"
 	"banyanspring/core/posn"
+	"banyanspring/core/share"
 	"banyanspring/io/delay"
 	"banyanspring/io/engine"
 	"banyanspring/io/pool"
@@ -235,7 +236,7 @@
 	po := gu.pools[up.ID]
 	if po == nil {
 		po = pool.New(up, guardPool, pool.Seams{Now: gu.me.seams.Now, Dial: gu.me.seams.Dial, Codec: gu.me.seams.Codec})
-		po.SetShare(1, 1, nil)
+		po.SetShare(share.Share{Quota: 1, Holders: 1})
 		gu.pools[up.ID] = po
 	}
 	return po
--- a/io/pool/pool.go
+++ b/io/pool/pool.go
@@ -14,6 +14,7 @@
 	"banyanspring/core/admit"
 	"banyanspring/core/codes"
 	"banyanspring/core/group"
+	"banyanspring/core/share"
 	"banyanspring/core/stmt"
 	"banyanspring/io/gate"
 )
@@ -48,18 +49,15 @@
 	upstream group.Upstream
 	settings Settings
 	seams    Seams
-	// gate shares the connections, and slots what runs on them at once.
-	gate, slots *gate.Gate
+	// gate shares the connections, and slots what runs on them at once. links
+	// bounds the batches that are under way to the homes.
+	gate, slots, links *gate.Gate
 
 	mu sync.Mutex
 	// idle holds the unused connections, last used last.
 	idle []*Conn
-	// quota is 0 if the upstream is reached through its homes.
-	quota int
-	// holders counts the instances that hold connections.
-	holders int
-	// homes holds the addresses of the instances that relay to the upstream.
-	homes  []string
+	// share is what this instance has of the upstream's connections.
+	share  share.Share
 	closed bool
 	// open counts connections, those under way included.
 	open atomic.Int32
@@ -73,8 +71,9 @@
 		upstream: up,
 		settings: se,
 		seams:    sm,
-		gate:     gate.New(room(0), se.Waiting, sm.Now),
+		gate:     gate.New(1, se.Waiting, sm.Now),
 		slots:    gate.New(depth(up, 1), se.Waiting, sm.Now),
+		links:    gate.New(relayed, se.Waiting, sm.Now),
 	}
 }
 
@@ -82,14 +81,6 @@
 // the homes queue them fairly.
 const relayed = 64
 
-// room returns how many connections may be in use at once.
-func room(quota int) int {
-	if quota == 0 {
-		return relayed
-	}
-	return quota
-}
-
 // Upstream returns what the pool connects to.
 func (po *Pool) Upstream() group.Upstream { return po.upstream }
 
@@ -108,55 +99,78 @@
 	return max(leastDepth, queueDepth*max(up.Slots, 1)/max(holders, 1))
 }
 
-// SetShare changes how many connections the pool may have, how many instances
-// hold some, and the homes through which it reaches the upstream if it has none.
-func (po *Pool) SetShare(quota, holders int, homes []string) {
+// SetShare changes how many connections the pool may have, and through whom it
+// reaches the upstream if these are not for the callers here.
+func (po *Pool) SetShare(sh share.Share) {
 	po.mu.Lock()
-	isSame := po.quota == quota && po.holders == holders
-	po.quota, po.holders, po.homes = quota, holders, homes
+	isSame := po.share.Quota == sh.Quota && po.share.Holders == sh.Holders
+	po.share = sh
 	po.mu.Unlock()
 	if isSame {
 		return
 	}
-	po.gate.SetSlots(room(quota))
-	po.slots.SetSlots(depth(po.upstream, holders))
+	po.gate.SetSlots(max(1, sh.Quota))
+	po.slots.SetSlots(depth(po.upstream, sh.Holders))
 	po.trim()
 }
 
-// Load returns how many connections are in use, and how many requests wait for
-// one or for a slot.
-func (po *Pool) Load() (running, waiting int) {
-	running, waiting = po.gate.Load()
-	_, queued := po.slots.Load()
-	return running, waiting + queued
-}
-
-// Quota returns how many connections the pool may have.
-func (po *Pool) Quota() int {
+func (po *Pool) currentShare() share.Share {
 	po.mu.Lock()
 	defer po.mu.Unlock()
-	return po.quota
+	return po.share
 }
 
-// Room returns how many requests may be under way at once.
-func (po *Pool) Room() int { return room(po.Quota()) }
+// isRelayed reports whether callers here reach the upstream through others.
+func (po *Pool) isRelayed(sh share.Share) bool {
+	return po.seams.Relays != nil && (sh.Quota == 0 || sh.IsDeputy)
+}
+
+// Load returns how many requests from here are under way and how many more may
+// be, and how many wait for a connection or for a slot.
+func (po *Pool) Load() (running, room, waiting int) {
+	sh := po.currentShare()
+	if po.isRelayed(sh) {
+		running, waiting = po.links.Load()
+		return running, relayed, waiting
+	}
+	running, waiting = po.gate.Load()
+	_, queued := po.slots.Load()
+	return running, max(1, sh.Quota), waiting + queued
+}
 
 // RoundTrip returns a bound on the round trip to the upstream; zero if unknown.
 func (po *Pool) RoundTrip() time.Duration { return time.Duration(po.nearest.Load()) }
 
-// Acquire returns a connection for the caller alone. It must be given back by
+// Acquire returns a connection for the caller alone, through a home or a deputy
+// if the ones here are not for the callers here. It must be given back by
 // Release or by Discard. It is refused if the wait for its turn would last past
 // the time in patience; the rest may take until the deadline. The error is a
 // *codes.Refusal; nothing was sent.
 func (po *Pool) Acquire(caller string, patience, deadline time.Time) (*Conn, error) {
+	sh := po.currentShare()
+	if !po.isRelayed(sh) {
+		return po.AcquireHere(caller, patience, deadline)
+	}
+	address, ok := po.seams.Relays.choose(sh.Homes)
+	if !ok && sh.IsDeputy {
+		return po.AcquireHere(caller, patience, deadline)
+	}
+	if !ok {
+		address, ok = po.seams.Relays.choose(sh.Deputies)
+	}
+	if !ok {
+		return nil, codes.Refuse(codes.PeerUnreached, "none of %d homes and %d deputies is in reach", len(sh.Homes), len(sh.Deputies))
+	}
+	return po.acquireRelayed(caller, address, patience)
+}
+
+// AcquireHere returns a connection of the ones here, as Acquire does.
+func (po *Pool) AcquireHere(caller string, patience, deadline time.Time) (*Conn, error) {
 	item := admit.Item{Caller: caller, Weight: 1, Limit: po.settings.Waiting, Deadline: patience}
 	release, err := po.gate.Acquire(context.Background(), item)
 	if err != nil {
 		return nil, err
 	}
-	if homes := po.relayedBy(); homes != nil {
-		return po.acquireRelayed(caller, homes, patience, release)
-	}
 	// The slot comes before the connection: a connection that is opened only to
 	// wait for a slot takes one itself.
 	slot, err := po.slots.Acquire(context.Background(), item)
@@ -188,26 +202,14 @@
 	}
 }
 
-// relayedBy returns the homes if the upstream is reached through them, or nil.
-func (po *Pool) relayedBy() []string {
-	po.mu.Lock()
-	defer po.mu.Unlock()
-	if po.quota > 0 || po.seams.Relays == nil {
-		return nil
-	}
-	if po.homes == nil {
-		return []string{}
-	}
-	return po.homes
-}
-
-// acquireRelayed returns a connection through a home. The home takes its own
-// connection when the first batch arrives.
-func (po *Pool) acquireRelayed(caller string, homes []string, patience time.Time, release func()) (*Conn, error) {
-	address, ok := po.seams.Relays.choose(homes)
-	if !ok {
-		release()
-		return nil, codes.Refuse(codes.PeerUnreached, "none of %d homes is in reach", len(homes))
+// acquireRelayed returns a connection through the instance at the address, which
+// takes its own connection when the first batch arrives.
+func (po *Pool) acquireRelayed(caller, address string, patience time.Time) (*Conn, error) {
+	release, err := po.links.Acquire(context.Background(), admit.Item{
+		Caller: caller, Weight: 1, Limit: po.settings.Waiting, Deadline: patience,
+	})
+	if err != nil {
+		return nil, err
 	}
 	re, err := po.seams.Relays.take(address)
 	if err != nil {
@@ -241,7 +243,7 @@
 	co.freeSlot()
 	co.lastUsed = po.seams.Now()
 	po.mu.Lock()
-	keep := !po.closed && int(po.open.Load()) <= po.quota
+	keep := !po.closed && int(po.open.Load()) <= po.share.Quota
 	if keep {
 		po.idle = append(po.idle, co)
 	}
@@ -300,13 +302,13 @@
 func (po *Pool) Sweep() {
 	now := po.seams.Now()
 	po.closeWhile(func(oldest *Conn) bool {
-		return int(po.open.Load()) > po.quota || now.Sub(oldest.lastUsed) >= po.settings.IdleTimeout
+		return int(po.open.Load()) > po.share.Quota || now.Sub(oldest.lastUsed) >= po.settings.IdleTimeout
 	})
 }
 
 // trim closes idle connections over the quota.
 func (po *Pool) trim() {
-	po.closeWhile(func(*Conn) bool { return int(po.open.Load()) > po.quota })
+	po.closeWhile(func(*Conn) bool { return int(po.open.Load()) > po.share.Quota })
 }
 
 // closeWhile closes idle connections, longest unused first, while the condition
--- /dev/null
+++ b/io/pool/pool_test.go
@@ -0,0 +1,162 @@
+package pool
+
+import (
+	"bufio"
+	"context"
+	"net"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/stretchr/testify/require"
+
+	"banyanspring/core/codes"
+	"banyanspring/core/group"
+	"banyanspring/core/share"
+	"banyanspring/core/stmt"
+)
+
+// fakeNet is a network on which every address answers unless it is cut off.
+type fakeNet struct {
+	t *testing.T
+
+	mu     sync.Mutex
+	cutOff map[string]bool
+	dialed []string
+	now    time.Time
+}
+
+func (fn *fakeNet) clock() time.Time {
+	fn.mu.Lock()
+	defer fn.mu.Unlock()
+	return fn.now
+}
+
+// pass lets time pass.
+func (fn *fakeNet) pass(took time.Duration) {
+	fn.mu.Lock()
+	defer fn.mu.Unlock()
+	fn.now = fn.now.Add(took)
+}
+
+func (fn *fakeNet) setCutOff(address string, isCutOff bool) {
+	fn.mu.Lock()
+	defer fn.mu.Unlock()
+	fn.cutOff[address] = isCutOff
+}
+
+// dials returns how often an address was dialed.
+func (fn *fakeNet) dials(address string) int {
+	fn.mu.Lock()
+	defer fn.mu.Unlock()
+	count := 0
+	for _, got := range fn.dialed {
+		if got == address {
+			count++
+		}
+	}
+	return count
+}
+
+func (fn *fakeNet) dial(_ context.Context, address string) (net.Conn, error) {
+	fn.mu.Lock()
+	defer fn.mu.Unlock()
+	fn.dialed = append(fn.dialed, address)
+	if fn.cutOff[address] {
+		return nil, errors.New("i/o timeout")
+	}
+	near, far := net.Pipe()
+	fn.t.Cleanup(func() { _, _ = near.Close(), far.Close() })
+	go func() { _, _ = bufio.NewReader(far).WriteTo(discard{}) }()
+	return near, nil
+}
+
+type discard struct{}
+
+func (discard) Write(raw []byte) (int, error) { return len(raw), nil }
+
+// newPool returns a pool of an instance with the share given.
+func (fn *fakeNet) newPool(sh share.Share) *Pool {
+	codec := Codec{
+		AppendHello: func(buf []byte, group, _ string) []byte { return append(buf, group...) },
+		ReadHello:   func(*bufio.Reader) (stmt.Result, error) { return stmt.Result{State: stmt.Idle}, nil },
+	}
+	po := New(group.Upstream{ID: "db", Address: "db", Slots: 2}, Settings{Waiting: 100, ConnectTimeout: time.Minute, CheckAfter: time.Hour}, Seams{
+		Now: fn.clock, Dial: fn.dial, Relays: NewRelays(fn.clock, fn.dial), Codec: codec,
+	})
+	po.SetShare(sh)
+	return po
+}
+
+func (fn *fakeNet) acquire(po *Pool) (*Conn, error) {
+	limit := fn.clock().Add(time.Minute)
+	return po.Acquire("caller", limit, limit)
+}
+
+func TestDeputiesServeThoseWhoReachNoHome(t *testing.T) {
+	sh := share.Share{Holders: 2, Homes: []string{"home-1", "home-2"}, Deputies: []string{"deputy-1", "deputy-2"}}
+	fn := &fakeNet{t: t, cutOff: map[string]bool{"home-1": true, "home-2": true, "deputy-1": true}}
+	po := fn.newPool(sh)
+	for range 3 {
+		_, err := fn.acquire(po)
+		require.True(t, codes.Is(err, codes.PeerUnreached), "%v", err)
+	}
+	co, err := fn.acquire(po)
+	require.NoError(t, err)
+	require.Equal(t, "deputy-2", co.relay.address)
+}
+
+func TestHomesGoBeforeDeputies(t *testing.T) {
+	sh := share.Share{Holders: 2, Homes: []string{"home-1", "home-2"}, Deputies: []string{"deputy-1"}}
+	fn := &fakeNet{t: t, cutOff: map[string]bool{"home-1": true}}
+	po := fn.newPool(sh)
+	_, err := fn.acquire(po)
+	require.True(t, codes.Is(err, codes.PeerUnreached), "%v", err)
+	for range 5 {
+		co, err := fn.acquire(po)
+		require.NoError(t, err)
+		require.Equal(t, "home-2", co.relay.address)
+	}
+}
+
+func TestDeputyUsesItsOwnConnectionsOnlyWithoutHomes(t *testing.T) {
+	sh := share.Share{Quota: 3, IsDeputy: true, Holders: 2, Homes: []string{"home-1"}, Deputies: []string{"self"}}
+	fn := &fakeNet{t: t, cutOff: map[string]bool{}}
+	po := fn.newPool(sh)
+	co, err := fn.acquire(po)
+	require.NoError(t, err)
+	require.Equal(t, "home-1", co.relay.address)
+
+	fn.setCutOff("home-1", true)
+	po = fn.newPool(sh)
+	_, err = fn.acquire(po)
+	require.True(t, codes.Is(err, codes.PeerUnreached), "%v", err)
+	co, err = fn.acquire(po)
+	require.NoError(t, err)
+	require.Nil(t, co.relay)
+	require.Equal(t, 1, fn.dials("db"))
+}
+
+// A home that failed is tried apart from the statements: none of them waits for
+// a connection that cannot be made.
+func TestNoBatchWaitsForAHomeThatFailed(t *testing.T) {
+	sh := share.Share{Holders: 2, Homes: []string{"home-1"}, Deputies: []string{"deputy-1"}}
+	fn := &fakeNet{t: t, cutOff: map[string]bool{"home-1": true}}
+	po := fn.newPool(sh)
+	_, err := fn.acquire(po)
+	require.True(t, codes.Is(err, codes.PeerUnreached), "%v", err)
+	for tries := 2; tries < 5; tries++ {
+		fn.pass(time.Second)
+		co, err := fn.acquire(po)
+		require.NoError(t, err)
+		require.Equal(t, "deputy-1", co.relay.address)
+		require.Eventually(t, func() bool { return fn.dials("home-1") == tries }, time.Minute, time.Millisecond)
+	}
+	fn.setCutOff("home-1", false)
+	require.Eventually(t, func() bool {
+		fn.pass(time.Second)
+		co, err := fn.acquire(po)
+		return err == nil && co.relay.address == "home-1"
+	}, time.Minute, time.Millisecond)
+}
--- a/io/pool/relay.go
+++ b/io/pool/relay.go
@@ -26,15 +26,17 @@
 	mu sync.Mutex
 	// idle holds unused links by the home's address, last used last.
 	idle map[string][]*relay
-	// avoidUntil is when a home that failed is worth another try.
-	avoidUntil map[string]time.Time
+	// retryAt holds the homes that failed, which get no batch until a connection
+	// to them is made again, with the time of the next try.
+	retryAt map[string]time.Time
 	// pending counts batches under way by home.
 	pending map[string]int
 }
 
 const (
-	// avoidHome is how long a home that failed is passed over.
-	avoidHome = time.Second
+	// retryHome is the time between two tries to connect to a home that failed,
+	// of the order of a restart's shortest time.
+	retryHome = 250 * time.Millisecond
 	// relayDial bounds the connecting to a home.
 	relayDial = 300 * time.Millisecond
 	// idleLinks bounds the unused links kept to one home.
@@ -45,7 +47,7 @@
 func NewRelays(now func() time.Time, dial func(ctx context.Context, address string) (net.Conn, error)) *Relays {
 	return &Relays{
 		now: now, dial: dial,
-		idle: make(map[string][]*relay), avoidUntil: make(map[string]time.Time), pending: make(map[string]int),
+		idle: make(map[string][]*relay), retryAt: make(map[string]time.Time), pending: make(map[string]int),
 	}
 }
 
@@ -123,7 +125,11 @@
 	defer rs.mu.Unlock()
 	best, found := "", false
 	for _, address := range homes {
-		if now.Before(rs.avoidUntil[address]) {
+		if at, isFailed := rs.retryAt[address]; isFailed {
+			if !now.Before(at) {
+				rs.retryAt[address] = now.Add(retryHome + relayDial)
+				go rs.retry(address)
+			}
 			continue
 		}
 		if !found || rs.pending[address] < rs.pending[best] {
@@ -145,9 +151,7 @@
 		return re, nil
 	}
 	rs.mu.Unlock()
-	ctx, cancel := context.WithTimeout(context.Background(), relayDial)
-	defer cancel()
-	raw, err := rs.dial(ctx, address)
+	re, err := rs.connect(address)
 	if err != nil {
 		rs.failed(address)
 		return nil, err
@@ -155,13 +159,37 @@
 	rs.mu.Lock()
 	rs.pending[address]++
 	rs.mu.Unlock()
+	return re, nil
+}
+
+func (rs *Relays) connect(address string) (*relay, error) {
+	ctx, cancel := context.WithTimeout(context.Background(), relayDial)
+	defer cancel()
+	raw, err := rs.dial(ctx, address)
+	if err != nil {
+		return nil, err
+	}
 	return &relay{rs: rs, address: address, net: raw, enc: cbor.NewEncoder(raw), dec: cbor.NewDecoder(raw)}, nil
 }
 
+// retry connects to a home that failed; it gets batches again if that succeeds.
+func (rs *Relays) retry(address string) {
+	re, err := rs.connect(address)
+	rs.mu.Lock()
+	defer rs.mu.Unlock()
+	if err != nil {
+		rs.retryAt[address] = rs.now().Add(retryHome)
+		return
+	}
+	delete(rs.retryAt, address)
+	re.usedAt = rs.now()
+	rs.idle[address] = append(rs.idle[address], re)
+}
+
 func (rs *Relays) failed(address string) {
 	rs.mu.Lock()
 	defer rs.mu.Unlock()
-	rs.avoidUntil[address] = rs.now().Add(avoidHome)
+	rs.retryAt[address] = rs.now().Add(retryHome)
 	for _, re := range rs.idle[address] {
 		_ = re.net.Close()
 	}
@@ -335,11 +363,11 @@
 	deadline := le.now().Add(time.Duration(msg.WaitMs) * time.Millisecond)
 	if le.conn == nil {
 		po := le.find(msg.Upstream)
-		if po == nil || po.Quota() == 0 {
+		if po == nil || po.currentShare().Quota == 0 {
 			return resultsMessage{Refusal: uint32(codes.NotHome), Detail: msg.Upstream}
 		}
 		patience := le.now().Add(time.Duration(msg.PatienceMs) * time.Millisecond)
-		co, err := po.Acquire(msg.Caller, patience, deadline)
+		co, err := po.AcquireHere(msg.Caller, patience, deadline)
 		if err != nil {
 			ref := codes.From(err)
 			return resultsMessage{Refusal: uint32(ref.Code), Detail: ref.Detail}
