Wait for the list of members before serving

Change: a member is ready once it has the list of members too, for which it waits 500 ms at most; new sessions wait for the same, as they waited for the configuration.

--- a/io/engine/engine.go
+++ b/io/engine/engine.go
@@ -32,6 +32,8 @@
 	// Share returns this instance's share of an upstream's connections.
 	Share func(up group.Upstream, gr catlg.Group) share.Share
 	Pool  pool.Seams
+	// Equipped reports whether this instance knows what it needs to serve.
+	Equipped func() bool
 	// Observed is told of each statement on data that was answered.
 	Observed func(ob Observation)
 }
--- a/io/engine/session.go
+++ b/io/engine/session.go
@@ -26,11 +26,11 @@
 	// messageTimeout bounds the time that a caller takes to send a message it
 	// has begun.
 	messageTimeout = 15 * time.Second
-	// catalogWait bounds the wait of a new session for the first catalog.
-	// Callers give up on the opening of a session after 2 s.
-	catalogWait = 1500 * time.Millisecond
-	// catalogPoll is the pause between two looks for the first catalog.
-	catalogPoll = 20 * time.Millisecond
+	// openingWait bounds the wait of a new session for an instance that is
+	// starting. Callers give up on the opening of a session after 2 s.
+	openingWait = 1500 * time.Millisecond
+	// openingPoll is the pause between two looks whether it has started.
+	openingPoll = 20 * time.Millisecond
 	// newWhileLeaving is how long a session that came while the instance leaves
 	// may wait for its first statement.
 	newWhileLeaving = 1500 * time.Millisecond
@@ -122,6 +122,7 @@
 		return se.turnAway(codes.Refuse(codes.ProtocolViolation, "expected the opening of a session"))
 	}
 	se.database = rq.Database
+	se.awaitEquipped()
 	if ref := se.findTarget(); ref != nil {
 		return se.turnAway(ref)
 	}
@@ -137,14 +138,18 @@
 	return false
 }
 
+// awaitEquipped waits until this instance can serve, for as long as a caller
+// waits for the opening.
+func (se *session) awaitEquipped() {
+	limit := se.opened.Add(openingWait)
+	for !se.en.seams.Equipped() && se.en.seams.Now().Before(limit) {
+		time.Sleep(openingPoll)
+	}
+}
+
 // findTarget looks the session's database up in the catalog in force.
 func (se *session) findTarget() *codes.Refusal {
-	limit := se.opened.Add(catalogWait)
 	ca := se.en.catalog.Current()
-	for ca.Version == 0 && se.en.seams.Now().Before(limit) {
-		time.Sleep(catalogPoll)
-		ca = se.en.catalog.Current()
-	}
 	if ca.Version == 0 {
 		return codes.Refuse(codes.ShuttingDown, "no configuration yet")
 	}
--- a/io/member/member.go
+++ b/io/member/member.go
@@ -89,6 +89,8 @@
 	catalogAt, listingAt instant
 	// started is when the member was made.
 	started time.Time
+	// equippedAt is when the configuration and the listing were first known.
+	equippedAt instant
 	// isListed is true once the upstreams were listed.
 	isListed atomic.Bool
 
@@ -111,6 +113,7 @@
 		engine.Seams{
 			Now:   sm.Now,
 			Share: me.share, Observed: me.observe,
+			Equipped: func() bool { return me.life.State() != life.Starting },
 			Pool: pool.Seams{
 				Now: sm.Now, Dial: sm.Dial, Codec: sm.Codec, Relays: pool.NewRelays(sm.Now, sm.Dial),
 			},
@@ -156,6 +159,9 @@
 	// startWait is how long a member that knows another waits at its start for
 	// that one's word before it asks the store itself.
 	startWait = 700 * time.Millisecond
+	// membersPatience is how long a member that has all else waits for the list
+	// of members, some hundred times what the store takes to answer.
+	membersPatience = 500 * time.Millisecond
 	// listingPause is kept between two answers of the listing's watch: each
 	// upstream writes every second, and a call costs more than its events.
 	listingPause = 600 * time.Millisecond
@@ -197,6 +203,7 @@
 func (me *Member) tick(ctx context.Context) {
 	maintainAt := me.seams.Now()
 	for delay.Pause(ctx, sampleTick) {
+		me.noteReady()
 		me.engine.Sample(otherSample)
 		now := me.seams.Now()
 		if now.Before(maintainAt) {
@@ -222,12 +229,20 @@
 	return me.life.State() == life.Serving
 }
 
-// noteReady begins to serve once there is a configuration and a listing.
+// noteReady begins to serve once there is a configuration, a listing and the list
+// of members: without that one each instance of a fleet that starts at once would
+// take the share of a fleet of one.
 func (me *Member) noteReady() {
 	if me.life.State() != life.Starting || !me.isListed.Load() || me.catalog.Current().Version == 0 {
 		return
 	}
+	now := me.seams.Now()
+	me.equippedAt.raiseOnce(now)
+	if !me.roster.isKnown() && now.Sub(me.equippedAt.load()) < membersPatience {
+		return
+	}
 	if err := me.life.Ready(); err == nil {
-		event.Log(me.log, event.DaemonServing, "catalog_version", me.catalog.Current().Version)
+		event.Log(me.log, event.DaemonServing, "catalog_version", me.catalog.Current().Version,
+			"members", len(me.roster.sharers()))
 	}
 }
--- a/io/member/opinions.go
+++ b/io/member/opinions.go
@@ -121,3 +121,6 @@
 		}
 	}
 }
+
+// raiseOnce sets the time if it was never set.
+func (in *instant) raiseOnce(at time.Time) { in.ns.CompareAndSwap(0, at.UnixNano()) }
--- a/io/member/peer.go
+++ b/io/member/peer.go
@@ -283,11 +283,11 @@
 			return vi
 		})
 		me.isListed.Store(true)
-		me.noteReady()
 	}
 	if re.Members != nil {
 		me.roster.replace(re.Members, re.MembersAt)
 	}
+	me.noteReady()
 	if re.MembersMs > 0 {
 		me.roster.confirmedAt.raise(asked.Add(-millis(re.MembersMs)))
 	}
--- a/io/member/roster.go
+++ b/io/member/roster.go
@@ -190,6 +190,7 @@
 		return 0, err
 	}
 	ro.replace(objs, revision)
+	ro.me.noteReady()
 	return revision, nil
 }
 
@@ -256,6 +257,9 @@
 	return out, ro.listed
 }
 
+// isKnown reports whether the list of members has been heard.
+func (ro *roster) isKnown() bool { return ro.revisionKnown() > 0 }
+
 // revisionKnown returns the revision of the list of members.
 func (ro *roster) revisionKnown() uint64 {
 	ro.mu.Lock()
