Open few connections to an upstream at once

Cause: a request whose deadline passed while its connection was being opened left the opening behind and its place to the next one, which opened another. Change: an opening belongs to the pool. At most two are under way; requests take whichever connection is free first, and an opening that fails is told to all who wait for it. TestFewConnectionsAreOpenedAtOnce (connections_are_opened_into_a_crowd).

--- a/io/pool/pool.go
+++ b/io/pool/pool.go
@@ -59,6 +59,11 @@
 	// share is what this instance has of the upstream's connections.
 	share  share.Share
 	closed bool
+	// dialing counts the connections that are being opened; at most dialsAtOnce.
+	dialing int
+	// turn ends when a connection becomes idle or one that was being opened
+	// fails; it is replaced then.
+	turn *turn
 	// open counts connections, those under way included.
 	open atomic.Int32
 	// nearest is the shortest connect time seen, a bound on the round trip.
@@ -74,6 +79,7 @@
 		gate:     gate.New(1, se.Waiting, sm.Now),
 		slots:    gate.New(depth(up, 1), se.Waiting, sm.Now),
 		links:    gate.New(relayed, se.Waiting, sm.Now),
+		turn:     newTurn(),
 	}
 }
 
@@ -188,12 +194,20 @@
 	return co, nil
 }
 
-// connect returns an idle connection that is alive, or a new one.
+// connect returns an idle connection that is alive. If there is none it has one
+// opened and takes whichever is free first. The opening is not bound to the
+// request: what comes too late for it serves the next one.
 func (po *Pool) connect(deadline time.Time) (*Conn, error) {
 	for {
-		co := po.take()
+		co, tu, err := po.takeOrDial()
+		if err != nil {
+			return nil, err
+		}
 		if co == nil {
-			return po.dialFor(deadline)
+			if err := tu.wait(deadline.Sub(po.seams.Now())); err != nil {
+				return nil, err
+			}
+			continue
 		}
 		if po.seams.Now().Sub(co.lastUsed) < po.settings.CheckAfter || co.isAlive(deadline) {
 			return co, nil
@@ -219,17 +233,90 @@
 	return &Conn{pool: po, relay: re, caller: caller, patience: patience, release: release}, nil
 }
 
-// take returns the idle connection that was used last, or nil.
-func (po *Pool) take() *Conn {
+// dialsAtOnce bounds the connections that are being opened. Each takes one of the
+// upstream's slots for a while: more of them at once are not ready sooner, and
+// keep the statements out that the open ones could run.
+const dialsAtOnce = 2
+
+// takeOrDial returns the idle connection that was used last, or the turn to wait
+// for while one is being opened.
+func (po *Pool) takeOrDial() (*Conn, *turn, error) {
 	po.mu.Lock()
 	defer po.mu.Unlock()
-	last := len(po.idle) - 1
-	if last < 0 {
-		return nil
+	if po.closed {
+		return nil, nil, codes.Refuse(codes.UpstreamReplaced, "%s is gone", po.upstream.ID)
+	}
+	if last := len(po.idle) - 1; last >= 0 {
+		co := po.idle[last]
+		po.idle = po.idle[:last]
+		return co, nil, nil
+	}
+	if po.dialing < dialsAtOnce && !po.isFull(0) {
+		po.dialing++
+		po.open.Add(1)
+		go po.dialOne()
+	}
+	return nil, po.turn, nil
+}
+
+// dialOne opens a connection for whoever comes first.
+func (po *Pool) dialOne() {
+	co, err := po.dial()
+	po.mu.Lock()
+	defer po.mu.Unlock()
+	po.dialing--
+	if err == nil && po.keep(co) {
+		return
+	}
+	if err == nil {
+		_ = co.net.Close()
+	}
+	po.open.Add(-1)
+	po.endTurn(err)
+}
+
+// isFull reports whether there are as many connections as there may be, and more
+// than that by so many; mu is held.
+func (po *Pool) isFull(more int) bool { return int(po.open.Load()) >= max(1, po.share.Quota)+more }
+
+// keep makes a connection idle, unless it is too many; mu is held.
+func (po *Pool) keep(co *Conn) bool {
+	if po.closed || po.isFull(1) {
+		return false
+	}
+	co.lastUsed = po.seams.Now()
+	po.idle = append(po.idle, co)
+	po.endTurn(nil)
+	return true
+}
+
+// endTurn lets those go on who wait; mu is held.
+func (po *Pool) endTurn(err error) {
+	po.turn.err = err
+	close(po.turn.over)
+	po.turn = newTurn()
+}
+
+// turn is a time for which requests wait together.
+type turn struct {
+	over chan struct{}
+	// err is why the connection that was waited for could not be opened; it is
+	// set before over is closed.
+	err error
+}
+
+func newTurn() *turn { return &turn{over: make(chan struct{})} }
+
+// wait waits for the end of the turn, for as long as given.
+func (tu *turn) wait(left time.Duration) error {
+	timer := time.NewTimer(left)
+	defer timer.Stop()
+	select {
+	case <-tu.over:
+		return tu.err
+	case <-timer.C:
+		return codes.Refuse(codes.DeadlineUnmet, "connecting takes longer")
 	}
-	co := po.idle[last]
-	po.idle = po.idle[:last]
-	return co
 }
 
 // Release gives a connection back that is in no transaction and has no answer
@@ -241,17 +328,14 @@
 		return
 	}
 	co.freeSlot()
-	co.lastUsed = po.seams.Now()
+	release := co.release
 	po.mu.Lock()
-	keep := !po.closed && int(po.open.Load()) <= po.share.Quota
-	if keep {
-		po.idle = append(po.idle, co)
-	}
+	isKept := po.keep(co)
 	po.mu.Unlock()
-	if !keep {
+	if !isKept {
 		po.drop(co)
 	}
-	co.release()
+	release()
 }
 
 // Discard gives a connection back after an error. One whose statement timed out
@@ -283,7 +367,10 @@
 		return
 	}
 	_ = co.net.Close()
+	po.mu.Lock()
+	defer po.mu.Unlock()
 	po.open.Add(-1)
+	po.endTurn(nil)
 }
 
 // Close closes idle connections; those in use are closed when given back.
@@ -292,6 +379,7 @@
 	po.closed = true
 	idle := po.idle
 	po.idle = nil
+	po.endTurn(nil)
 	po.mu.Unlock()
 	for _, co := range idle {
 		po.drop(co)
@@ -327,44 +415,14 @@
 	}
 }
 
-// dialFor opens a connection for a request with the deadline. If it takes
-// longer, the connection is kept for others.
-func (po *Pool) dialFor(deadline time.Time) (*Conn, error) {
-	type dialed struct {
-		co  *Conn
-		err error
-	}
-	done := make(chan dialed, 1)
-	go func() {
-		co, err := po.dial(po.seams.Now().Add(po.settings.ConnectTimeout))
-		done <- dialed{co, err}
-	}()
-	timer := time.NewTimer(deadline.Sub(po.seams.Now()))
-	defer timer.Stop()
-	select {
-	case got := <-done:
-		return got.co, got.err
-	case <-timer.C:
-	}
-	go func() {
-		if got := <-done; got.err == nil {
-			got.co.release = func() {}
-			po.Release(got.co)
-		}
-	}()
-	return nil, codes.Refuse(codes.DeadlineUnmet, "connecting takes longer")
-}
-
 // dial opens a connection and checks that the expected upstream answers.
-func (po *Pool) dial(deadline time.Time) (*Conn, error) {
-	wait := min(deadline.Sub(po.seams.Now()), po.settings.ConnectTimeout)
+func (po *Pool) dial() (*Conn, error) {
+	wait := po.settings.ConnectTimeout
 	ctx, cancel := context.WithTimeout(context.Background(), wait)
 	defer cancel()
 	asked := po.seams.Now()
-	po.open.Add(1)
 	raw, err := po.seams.Dial(ctx, po.upstream.Address)
 	if err != nil {
-		po.open.Add(-1)
 		return nil, codes.Refuse(codes.UpstreamUnreached, "%v", err)
 	}
 	po.noteRoundTrip(po.seams.Now().Sub(asked))
@@ -372,11 +430,11 @@
 	co := newConn(po, raw)
 	res, err := co.hello(asked.Add(wait))
 	if err != nil {
-		po.drop(co)
+		_ = raw.Close()
 		return nil, codes.Refuse(codes.UpstreamUnreached, "%v", err)
 	}
 	if res.Code != codes.OK {
-		po.drop(co)
+		_ = raw.Close()
 		return nil, codes.Refuse(res.Code, "%s", res.Detail)
 	}
 	return co, nil
--- a/io/pool/pool_test.go
+++ b/io/pool/pool_test.go
@@ -25,6 +25,8 @@
 	cutOff map[string]bool
 	dialed []string
 	now    time.Time
+	// answer holds the greeting of upstreams back if it is not nil.
+	answer chan struct{}
 }
 
 func (fn *fakeNet) clock() time.Time {
@@ -80,7 +82,12 @@
 func (fn *fakeNet) newPool(sh share.Share) *Pool {
 	codec := Codec{
 		AppendHello: func(buf []byte, group, _ string) []byte { return append(buf, group...) },
-		ReadHello:   func(*bufio.Reader) (stmt.Result, error) { return stmt.Result{State: stmt.Idle}, nil },
+		ReadHello: func(*bufio.Reader) (stmt.Result, error) {
+			if fn.answer != nil {
+				<-fn.answer
+			}
+			return stmt.Result{State: stmt.Idle}, nil
+		},
 	}
 	po := New(group.Upstream{ID: "db", Address: "db", Slots: 2}, Settings{Waiting: 100, ConnectTimeout: time.Minute, CheckAfter: time.Hour}, Seams{
 		Now: fn.clock, Dial: fn.dial, Relays: NewRelays(fn.clock, fn.dial), Codec: codec,
@@ -160,3 +167,76 @@
 		return err == nil && co.relay.address == "home-1"
 	}, time.Minute, time.Millisecond)
 }
+
+// The pattern connections_are_opened_into_a_crowd: an upstream that is slow to
+// greet has many requests waiting. One connection for each would take its slots
+// from the statements; those that gave up must not leave theirs behind either.
+func TestFewConnectionsAreOpenedAtOnce(t *testing.T) {
+	fn := &fakeNet{t: t, cutOff: map[string]bool{}, answer: make(chan struct{})}
+	po := fn.newPool(share.Share{Quota: 50, Holders: 1})
+	const requests = 20
+	got := make(chan error, requests)
+	for range requests {
+		go func() {
+			deadline := fn.clock().Add(5 * time.Millisecond)
+			co, err := po.AcquireHere("caller", deadline.Add(time.Minute), deadline)
+			if err == nil {
+				po.Release(co)
+			}
+			got <- err
+		}()
+	}
+	for range depth(po.upstream, 1) {
+		require.True(t, codes.Is(<-got, codes.DeadlineUnmet))
+	}
+	require.LessOrEqual(t, fn.dials("db"), dialsAtOnce)
+	close(fn.answer)
+	for range requests - depth(po.upstream, 1) {
+		<-got
+	}
+	require.LessOrEqual(t, fn.dials("db"), depth(po.upstream, 1)+dialsAtOnce)
+}
+
+func TestConnectionThatComesLateServesTheNextRequest(t *testing.T) {
+	fn := &fakeNet{t: t, cutOff: map[string]bool{}, answer: make(chan struct{})}
+	po := fn.newPool(share.Share{Quota: 5, Holders: 1})
+	deadline := fn.clock().Add(time.Millisecond)
+	_, err := po.AcquireHere("caller", deadline.Add(time.Minute), deadline)
+	require.True(t, codes.Is(err, codes.DeadlineUnmet), "%v", err)
+	close(fn.answer)
+	isIdle := func() bool {
+		po.mu.Lock()
+		defer po.mu.Unlock()
+		return len(po.idle) == 1
+	}
+	require.Eventually(t, isIdle, time.Minute, time.Millisecond)
+	_, err = fn.acquire(po)
+	require.NoError(t, err)
+	require.Equal(t, 1, fn.dials("db"))
+}
+
+func TestFailedConnectionIsToldToAllWhoWaitForIt(t *testing.T) {
+	fn := &fakeNet{t: t, cutOff: map[string]bool{"db": true}}
+	po := fn.newPool(share.Share{Quota: 5, Holders: 1})
+	_, err := fn.acquire(po)
+	require.True(t, codes.Is(err, codes.UpstreamUnreached), "%v", err)
+	po.Close()
+	_, err = fn.acquire(po)
+	require.True(t, codes.Is(err, codes.UpstreamReplaced), "%v", err)
+}
+
+func TestRequestWaitsForAConnectionThatIsGivenBack(t *testing.T) {
+	fn := &fakeNet{t: t, cutOff: map[string]bool{}}
+	po := fn.newPool(share.Share{Quota: 1, Holders: 1})
+	first, err := fn.acquire(po)
+	require.NoError(t, err)
+	got := make(chan error, 1)
+	go func() {
+		_, err := fn.acquire(po)
+		got <- err
+	}()
+	require.Eventually(t, func() bool { _, _, waiting := po.Load(); return waiting == 1 }, time.Minute, time.Millisecond)
+	po.Release(first)
+	require.NoError(t, <-got)
+	require.Equal(t, 1, fn.dials("db"))
+}
