Keep members whose domain's first has left

Cause: the first of all takes a failure domain's members out of the store when none of the domain was heard for 16 s. Each change of the members moves homes and their connections. A split of the fleet did the same: each side took members of the other out after 8 s. Change: a domain is heard of whether or not who spoke for it is still there; members are taken out after 20 s, since deputies stand in for dead homes meanwhile. The pattern first_of_a_domain_leaves: TestMembersAreKeptWhenTheFirstOfTheirDomainLeaves failed before.

--- a/io/member/member_test.go
+++ b/io/member/member_test.go
@@ -1,6 +1,7 @@
 package member
 
 import (
+	"fmt"
 	"io"
 	"log/slog"
 	"testing"
@@ -9,17 +10,20 @@
 	"github.com/stretchr/testify/require"
 
 	"banyanspring/core/catlg"
+	"banyanspring/core/place"
 )
 
 // clocked is a member whose clock the test moves.
 type clocked struct {
 	*Member
 	now time.Time
+	// listed is the revision of the list of members.
+	listed uint64
 }
 
 func newClocked() *clocked {
-	cl := &clocked{now: time.Unix(1_000_000, 0)}
-	cl.Member = New(Settings{Name: "self"}, Seams{Now: func() time.Time { return cl.now }},
+	cl := &clocked{now: time.Unix(1_000_000, 0), listed: 1000}
+	cl.Member = New(Settings{Name: "self", Site: place.Site{Domain: "here"}}, Seams{Now: func() time.Time { return cl.now }},
 		slog.New(slog.NewTextHandler(io.Discard, nil)))
 	return cl
 }
@@ -52,3 +56,33 @@
 	cl.noteReady()
 	require.True(t, cl.IsReady())
 }
+
+// list makes members known: the first is this one, the others are of the domain
+// given.
+func (cl *clocked) list(domain string, names ...string) {
+	objs := []Object{{Name: "self", Revision: 1, Value: []byte(`{"name":"self","domain":"here"}`)}}
+	for _, name := range names {
+		value := fmt.Sprintf(`{"name":%q,"domain":%q}`, name, domain)
+		objs = append(objs, Object{Name: name, Revision: uint64(name[0]), Value: []byte(value)})
+	}
+	cl.listed++
+	cl.roster.replace(objs, cl.listed)
+}
+
+// The pattern first_of_a_domain_leaves: the others of the domain were never heard
+// by the first of all, since they exchange with the one that has left.
+func TestMembersAreKeptWhenTheFirstOfTheirDomainLeaves(t *testing.T) {
+	cl := newClocked()
+	cl.list("there", "first", "second", "third")
+	require.Empty(t, cl.roster.silent(cl.now))
+	for range 30 {
+		cl.now = cl.now.Add(silentFor / 5)
+		cl.roster.heard("first", cl.now)
+		require.Empty(t, cl.roster.silent(cl.now))
+	}
+	cl.list("there", "second", "third")
+	cl.now = cl.now.Add(silentFor)
+	require.Empty(t, cl.roster.silent(cl.now))
+	cl.now = cl.now.Add(silentFor + time.Second)
+	require.Len(t, cl.roster.silent(cl.now), 2)
+}
--- a/io/member/roster.go
+++ b/io/member/roster.go
@@ -85,6 +85,9 @@
 	// firstSince is since when this member is the first of its domain; zero if
 	// it is not.
 	firstSince time.Time
+	// domains holds when a member of each failure domain was last heard, whether
+	// it is still there or not: the first of a domain speaks for the others.
+	domains map[string]time.Time
 	// confirmedAt is when the store last confirmed the list.
 	confirmedAt instant
 	// wake has the own object looked at.
@@ -101,7 +104,7 @@
 		Region:  me.settings.Site.Region,
 		Started: time.Now().UnixNano(),
 	}
-	return &roster{me: me, members: make(map[string]*known), self: self, wake: make(chan struct{}, 1)}
+	return &roster{me: me, members: make(map[string]*known), domains: make(map[string]time.Time), self: self, wake: make(chan struct{}, 1)}
 }
 
 // follow tells the store of this member and learns of the others.
@@ -286,15 +289,9 @@
 	if now.Sub(ro.firstSince) <= silentFor {
 		return nil
 	}
-	heard := make(map[string]time.Time)
-	for _, kn := range ro.members {
-		if kn.heardAt.After(heard[kn.entry.Domain]) {
-			heard[kn.entry.Domain] = kn.heardAt
-		}
-	}
 	out := make(map[string]uint64)
 	for name, kn := range ro.members {
-		isDomainLost := isFirst && now.Sub(heard[kn.entry.Domain]) > 2*silentFor
+		isDomainLost := isFirst && now.Sub(ro.domains[kn.entry.Domain]) > 2*silentFor
 		isMine := kn.entry.Domain == ro.self.Domain && now.Sub(kn.heardAt) > silentFor
 		if name != ro.self.Name && (isMine || isDomainLost) {
 			out[name] = kn.token
@@ -315,9 +312,10 @@
 }
 
 // silentFor is how long a member may be silent before it is taken out of the
-// store and its share of the connections goes to others. It is longer than
-// instances take to restart.
-const silentFor = 8 * time.Second
+// store and its share of the connections goes to others. Homes have deputies
+// meanwhile, and each change of the members moves homes and their connections, so
+// that it is longer than restarts and most splits of a fleet take.
+const silentFor = 20 * time.Second
 
 // prune takes silent members out of the store.
 func (ro *roster) prune(ctx context.Context) {
@@ -352,7 +350,9 @@
 		return
 	}
 	ro.shared = nil
-	ro.members[obj.Name] = &known{entry: en, token: obj.Revision, heardAt: ro.me.seams.Now()}
+	now := ro.me.seams.Now()
+	ro.members[obj.Name] = &known{entry: en, token: obj.Revision, heardAt: now}
+	ro.domains[en.Domain] = now
 	if en.Name == ro.self.Name && en != ro.self && !ro.isLeaving {
 		// A late write of an earlier life has replaced the own object.
 		ro.isTold, ro.revision = false, obj.Revision
@@ -420,6 +420,7 @@
 	defer ro.mu.Unlock()
 	if kn := ro.members[name]; kn != nil {
 		kn.heardAt, kn.failures = now, 0
+		ro.domains[kn.entry.Domain] = now
 	}
 }
 
