--- a/io/member/follow.go
+++ b/io/member/follow.go
@@ -40,6 +40,10 @@
 			delay.Pause(ctx, freshTick)
 			continue
 		}
+		if !fo.me.pacer.may() {
+			delay.Pause(ctx, storePoll)
+			continue
+		}
 		var err error
 		if isKnown && isFirst {
 			since, err = fo.await(ctx, since)
@@ -47,14 +51,12 @@
 			since, err = fo.read(ctx)
 		}
 		he.note(err)
+		fo.me.pacer.note(err)
 		isKnown = err == nil
-		pause := fo.pause
-		if err != nil {
-			pause = retryPause
-		} else {
+		if err == nil {
 			fo.confirmedAt.raise(asked)
+			delay.Pause(ctx, fo.pause)
 		}
-		delay.Pause(ctx, pause)
 	}
 }
 
--- a/io/member/member.go
+++ b/io/member/member.go
@@ -82,6 +82,7 @@
 	relays   *pool.Server
 	metrics  *metric.Metrics
 	guards   *guards
+	pacer    *pacer
 
 	kernel   *kernl.Kernel[*Member]
 	listener net.Listener
@@ -107,6 +108,7 @@
 	me.peers = newPeers(me)
 	me.opinions = newOpinions()
 	me.guards = newGuards(me)
+	me.pacer = newPacer(me)
 	me.metrics = metric.New()
 	me.engine = engine.New(
 		engine.Settings{Site: se.Site, RegionOf: se.RegionOf, Pool: poolSettings},
--- a/io/member/roster.go
+++ b/io/member/roster.go
@@ -156,6 +156,9 @@
 	if isTold {
 		return nil
 	}
+	if !ro.me.pacer.may() {
+		return errStorePaused
+	}
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
 	var obj Object
@@ -165,6 +168,7 @@
 	} else {
 		obj, err = ro.me.seams.Store.Update(ctx, kindMember, self.Name, revision, self)
 	}
+	ro.me.pacer.note(err)
 	ro.mu.Lock()
 	defer ro.mu.Unlock()
 	var lost ErrConflict
@@ -320,9 +324,13 @@
 // prune takes silent members out of the store.
 func (ro *roster) prune(ctx context.Context) {
 	for name, token := range ro.silent(ro.me.seams.Now()) {
+		if !ro.me.pacer.may() {
+			return
+		}
 		callCtx, cancel := context.WithTimeout(ctx, callTimeout)
 		err := ro.me.seams.Store.Delete(callCtx, kindMember, name, token)
 		cancel()
+		ro.me.pacer.note(err)
 		event.Log(ro.me.log, event.PeerRemoved, "peer", name, "token", token, "error", errText(err))
 		if err == nil {
 			ro.mu.Lock()
