Keep to homes while a part of a large fleet is gone

Cause: connections are divided evenly if each member gets two. Ruled out: the members' list (known to all before they served), openings left behind. Change: at most sixteen members divide connections. The pattern part_of_a_large_fleet_restarts: TestLargeFleetKeepsToHomesWhileAPartIsGone failed before. Small sites (6 and 8 members) divide as before.

--- a/core/share/share.go
+++ b/core/share/share.go
@@ -49,6 +49,11 @@
 	// enough is how many connections an instance needs to do without homes: one
 	// may be held by a transaction.
 	enough = 2
+	// mostHolders is how many instances may hold connections to an upstream on
+	// their own. Each keeps two statements there, and an upstream of two slots
+	// refuses what comes behind some sixteen. Beyond it homes are used whatever
+	// the cap, so that a large fleet that loses a part does not change its way.
+	mostHolders = 16
 	// homesEach is how many homes an upstream has. Fewer homes queue less, since
 	// a connection or a slot that is idle at one cannot serve another's callers;
 	// two keep the upstream in reach when one fails.
@@ -69,7 +74,7 @@
 	if len(members) == 0 {
 		return Share{Quota: 1, Holders: 1}
 	}
-	if even := free / len(members); even >= enough {
+	if even := free / len(members); even >= enough && len(members) <= mostHolders {
 		return Share{Quota: even, Holders: len(members)}
 	}
 	ranked := rank(upstream, at, members)
--- a/core/share/share_test.go
+++ b/core/share/share_test.go
@@ -103,6 +103,18 @@
 	}
 }
 
+// The pattern part_of_a_large_fleet_restarts: the fleet keeps to its homes while
+// members are missing, though the cap would give each of the others two
+// connections of its own.
+func TestLargeFleetKeepsToHomesWhileAPartIsGone(t *testing.T) {
+	members := fleet(30)
+	for gone := range 70 {
+		sh := Of("db", place.Site{Domain: "b", Region: "rb"}, 152, members[gone:], "none")
+		require.Len(t, sh.Homes, homesEach, "%d members", len(members)-gone)
+		require.Zero(t, sh.Quota)
+	}
+}
+
 func TestOneDeputyIsOfAnotherDomain(t *testing.T) {
 	sh := Of("db", place.Site{Domain: "b", Region: "rb"}, 31, fleet(28), "a-0")
 	require.Len(t, sh.Deputies, deputiesEach)
