Exchange changes and sums instead of everything

Cause: every upstream writes to the store each 1.2 s that it is there, which raised the listing's revision, so that each exchange (four a second for each member) carried the whole listing; and the first of a failure domain passed on the opinions of each of its members on each group, 15 x 8 of them, to the holder of the duty, across regions too. Change: the listing is sent if it holds something else than the asker's; opinions of members that miss nothing become one for each leader, with their number. Those of members that miss a leader are sent as they are.

--- a/core/elect/elect.go
+++ b/core/elect/elect.go
@@ -20,6 +20,9 @@
 type Opinion struct {
 	// Leader is the upstream that it takes for the leader; empty if none.
 	Leader string
+	// Count is the number of instances that say so together, which all reach the
+	// leader; zero for one instance.
+	Count int
 	// At is when the opinion was heard.
 	At time.Time
 	// ProvenAt is when the leader last proved to it that it leads; zero if
@@ -124,7 +127,7 @@
 		if now.Sub(op.At) > ti.Fresh || op.Leader != leader {
 			continue
 		}
-		su.fresh++
+		su.fresh += max(1, op.Count)
 		su.heardAt = later(su.heardAt, op.ProvenAt)
 		su.wroteAt = later(su.wroteAt, op.WroteAt)
 		su.readAt = later(su.readAt, op.ReplicaAt)
--- a/core/group/group.go
+++ b/core/group/group.go
@@ -36,12 +36,15 @@
 type View struct {
 	// Revision is that of the newest change included.
 	Revision uint64
-	byID     map[string]Upstream
+	// Changed is a revision at which the listing held the same, as far as it
+	// matters: upstreams write every second that they are there.
+	Changed uint64
+	byID    map[string]Upstream
 }
 
 // NewView returns a view of the upstreams.
 func NewView(revision uint64, ups []Upstream) View {
-	vi := View{Revision: revision, byID: make(map[string]Upstream, len(ups))}
+	vi := View{Revision: revision, Changed: revision, byID: make(map[string]Upstream, len(ups))}
 	for _, up := range ups {
 		vi.byID[up.ID] = up
 	}
@@ -60,7 +63,7 @@
 
 // With returns a view with the changes made, at the revision given.
 func (vi View) With(revision uint64, changes []Change) View {
-	next := View{Revision: max(vi.Revision, revision), byID: make(map[string]Upstream, len(vi.byID))}
+	next := View{Revision: max(vi.Revision, revision), Changed: max(vi.Revision, revision), byID: make(map[string]Upstream, len(vi.byID))}
 	for id, up := range vi.byID {
 		next.byID[id] = up
 	}
@@ -74,6 +77,34 @@
 	return next
 }
 
+// Differences returns the upstreams that are new or otherwise than in the older
+// view, and those that are gone.
+func (vi View) Differences(old View) (changed, gone []Upstream) {
+	for id, up := range vi.byID {
+		if was, ok := old.byID[id]; !ok || !was.sameAs(up) {
+			changed = append(changed, up)
+		}
+	}
+	for id, up := range old.byID {
+		if _, ok := vi.byID[id]; !ok {
+			gone = append(gone, up)
+		}
+	}
+	return changed, gone
+}
+
+// sameAs reports whether two entries of one upstream say the same.
+func (up Upstream) sameAs(other Upstream) bool {
+	other.Revision = up.Revision
+	return up == other
+}
+
+// WithChanged returns the view as one that holds the same since the revision.
+func (vi View) WithChanged(revision uint64) View {
+	vi.Changed = revision
+	return vi
+}
+
 // Members returns the upstreams of a group, by ID.
 func (vi View) Members(group string) []Upstream {
 	var out []Upstream
--- a/io/member/follow.go
+++ b/io/member/follow.go
@@ -154,24 +154,20 @@
 	defer me.mu.Unlock()
 	old := me.view
 	next := change(old)
-	me.view = next
-	differs := false
-	for _, up := range next.All() {
-		was, ok := old.GetUpstreamByID(up.ID)
-		if ok && was.SameLife(up) && was.Leaving == up.Leaving && was.ClaimsLead == up.ClaimsLead {
-			continue
-		}
-		differs = true
+	changed, gone := next.Differences(old)
+	for _, up := range changed {
 		event.Log(me.log, event.UpstreamListed, "upstream", up.ID, "group", up.Group, "address", up.Address,
 			"domain", up.Domain, "leads", up.ClaimsLead, "leaving", up.Leaving, "revision", up.Revision)
 	}
-	for _, up := range old.All() {
-		if _, ok := next.GetUpstreamByID(up.ID); !ok {
-			differs = true
-			event.Log(me.log, event.UpstreamListed, "upstream", up.ID, "group", up.Group, "gone", true)
-		}
+	for _, up := range gone {
+		event.Log(me.log, event.UpstreamListed, "upstream", up.ID, "group", up.Group, "gone", true)
+	}
+	if len(changed)+len(gone) == 0 {
+		// Members are told of changes alone.
+		next = next.WithChanged(old.Changed)
 	}
-	if differs {
+	me.view = next
+	if len(changed)+len(gone) > 0 {
 		me.engine.SetView(next)
 	}
 }
--- a/io/member/member_test.go
+++ b/io/member/member_test.go
@@ -10,6 +10,7 @@
 	"github.com/stretchr/testify/require"
 
 	"banyanspring/core/catlg"
+	"banyanspring/core/group"
 	"banyanspring/core/place"
 )
 
@@ -86,3 +87,33 @@
 	cl.now = cl.now.Add(silentFor + time.Second)
 	require.Len(t, cl.roster.silent(cl.now), 2)
 }
+
+// The pattern heartbeats_of_all_upstreams: entries that say the same again must
+// not have the listing sent to every member.
+func TestListingIsSentWhenItChanged(t *testing.T) {
+	cl := newClocked()
+	upstreams := []group.Upstream{{ID: "a", Group: "g"}, {ID: "b", Group: "g"}}
+	set := func(vi group.View) { cl.setView(func(group.View) group.View { return vi }) }
+	set(group.NewView(10, upstreams))
+	require.NotNil(t, cl.reply(question{}, cl.now).Listing)
+	seen := question{Listing: cl.listing().Changed}
+	for revision := uint64(11); revision < 15; revision++ {
+		cl.setView(func(vi group.View) group.View {
+			return vi.With(revision, []group.Change{{Upstream: group.Upstream{ID: "a", Group: "g", Revision: revision}}})
+		})
+		require.Nil(t, cl.reply(seen, cl.now).Listing)
+	}
+	require.Equal(t, uint64(14), cl.listing().Revision)
+	cl.setView(func(vi group.View) group.View {
+		return vi.With(16, []group.Change{{Upstream: group.Upstream{ID: "a", Group: "g", Leaving: true}}})
+	})
+	re := cl.reply(seen, cl.now)
+	require.Equal(t, uint64(16), re.Listing.Revision)
+
+	// A peer that was told so does not go back to what it knew before.
+	late := newClocked()
+	late.learn(re, late.now)
+	late.learn(reply{Listing: &listing{Revision: 10, Upstreams: upstreams}}, late.now)
+	got, _ := late.listing().GetUpstreamByID("a")
+	require.True(t, got.Leaving)
+}
--- a/io/member/opinions.go
+++ b/io/member/opinions.go
@@ -38,7 +38,60 @@
 	op.held[ke] = heardWord{word: wo, at: at}
 }
 
-// fresh returns the opinions to pass on, with their ages, and forgets old ones.
+// calmSuffix marks the name under which a member passes on what calm members
+// told it.
+const calmSuffix = "/calm"
+
+// toPassOn returns the opinions for another member, with their ages. Those of
+// members that miss nothing become one for each leader, so that what is sent in
+// quiet times grows with the failure domains; those of the others are sent as they
+// are. An opinion that was put together by another member stays so: two members
+// that ask each other must not count each other's instances again.
+func (op *opinions) toPassOn(now time.Time, self string) []word {
+	type about struct{ group, leader string }
+	calm := make(map[about]word)
+	var out []word
+	for _, wo := range op.fresh(now) {
+		if wo.Count > 0 || !wo.isCalm() {
+			out = append(out, wo)
+			continue
+		}
+		ke := about{wo.Group, wo.Leader}
+		calm[ke] = calm[ke].merge(wo)
+	}
+	for ke, wo := range calm {
+		wo.From = self + calmSuffix + "/" + ke.leader
+		out = append(out, wo)
+	}
+	return out
+}
+
+// isCalm reports whether the member that holds the opinion misses nothing.
+func (wo word) isCalm() bool { return wo.UnreachedMs == 0 && wo.Stalled == 0 && wo.Crowded == 0 }
+
+// merge returns a calm opinion of one more member. Each age is the youngest.
+func (wo word) merge(other word) word {
+	if wo.Count == 0 {
+		other.Count = 1
+		return other
+	}
+	wo.Count++
+	wo.AgeMs = min(wo.AgeMs, other.AgeMs)
+	wo.ProvenMs = younger(wo.ProvenMs, other.ProvenMs)
+	wo.WroteMs = younger(wo.WroteMs, other.WroteMs)
+	wo.ReplicaMs = younger(wo.ReplicaMs, other.ReplicaMs)
+	return wo
+}
+
+// younger returns the lower of two ages; zero stands for none.
+func younger(left, right int64) int64 {
+	if left == 0 || right == 0 {
+		return max(left, right)
+	}
+	return min(left, right)
+}
+
+// fresh returns the opinions that are not too old, and forgets the others.
 func (op *opinions) fresh(now time.Time) []word {
 	op.mu.Lock()
 	defer op.mu.Unlock()
@@ -81,6 +134,7 @@
 		}
 		out = append(out, elect.Opinion{
 			Leader:         he.word.Leader,
+			Count:          he.word.Count,
 			At:             he.at,
 			ProvenAt:       before(he, he.word.ProvenMs),
 			UnreachedSince: before(he, he.word.UnreachedMs),
--- a/io/member/peer.go
+++ b/io/member/peer.go
@@ -43,7 +43,10 @@
 	From   string `json:"from,omitempty"`
 	Group  string `json:"group"`
 	Leader string `json:"leader,omitempty"`
-	AgeMs  int64  `json:"age,omitempty"`
+	// Count is the number of members whose opinions were put together; zero for
+	// one member's own.
+	Count int   `json:"count,omitempty"`
+	AgeMs int64 `json:"age,omitempty"`
 	// ProvenMs, UnreachedMs, WroteMs and ReplicaMs are zero if there is none.
 	ProvenMs    int64 `json:"proven,omitempty"`
 	UnreachedMs int64 `json:"unreached,omitempty"`
@@ -87,6 +90,7 @@
 }
 
 type listing struct {
+	// Revision is the newest at which the listing changed.
 	Revision  uint64           `json:"revision"`
 	Upstreams []group.Upstream `json:"upstreams"`
 }
@@ -156,8 +160,8 @@
 		re.Catalog = &doc
 	}
 	vi := me.listing()
-	if vi.Revision > qu.Listing {
-		re.Listing = &listing{Revision: vi.Revision, Upstreams: vi.All()}
+	if vi.Changed > qu.Listing {
+		re.Listing = &listing{Revision: vi.Changed, Upstreams: vi.All()}
 	}
 	return re
 }
@@ -228,7 +232,7 @@
 	me := ps.me
 	asked := me.seams.Now()
 	qu := question{
-		From: me.settings.Name, Catalog: me.catalog.Current().Version, Listing: me.listing().Revision, Members: me.roster.revisionKnown(),
+		From: me.settings.Name, Catalog: me.catalog.Current().Version, Listing: me.listing().Changed, Members: me.roster.revisionKnown(),
 		Opinions: me.words(asked),
 	}
 	var re reply
@@ -277,7 +281,7 @@
 	if re.Listing != nil {
 		vi := group.NewView(re.Listing.Revision, re.Listing.Upstreams)
 		me.setView(func(old group.View) group.View {
-			if vi.Revision <= old.Revision {
+			if vi.Changed <= old.Changed {
 				return old
 			}
 			return vi
@@ -337,7 +341,7 @@
 			ReplicaMs:   ageMs(op.ReplicaAt, now),
 		})
 	}
-	return append(out, me.opinions.fresh(now)...)
+	return append(out, me.opinions.toPassOn(now, me.settings.Name)...)
 }
 
 // take notes evidence that was sent at the time given or later.
