--- a/io/member/member.go
+++ b/io/member/member.go
@@ -83,6 +83,7 @@
 	metrics  *metric.Metrics
 	guards   *guards
 	pacer    *pacer
+	shares   shares
 
 	kernel   *kernl.Kernel[*Member]
 	listener net.Listener
--- a/io/member/member_test.go
+++ b/io/member/member_test.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"io"
 	"log/slog"
+	"slices"
 	"testing"
 	"time"
 
@@ -12,6 +13,7 @@
 	"banyanspring/core/catlg"
 	"banyanspring/core/group"
 	"banyanspring/core/place"
+	"banyanspring/core/share"
 )
 
 // clocked is a member whose clock the test moves.
@@ -117,3 +119,23 @@
 	got, _ := late.listing().GetUpstreamByID("a")
 	require.True(t, got.Leaving)
 }
+
+func TestSharesAreWorkedOutOnceForTheMembers(t *testing.T) {
+	var sh shares
+	members := []share.Member{{Name: "a"}, {Name: "b"}}
+	count := 0
+	get := func(of shareOf, members []share.Member) {
+		sh.get(of, members, func() share.Share { count++; return share.Share{} })
+	}
+	for range 3 {
+		get(shareOf{upstream: "one"}, members)
+		get(shareOf{upstream: "two"}, members)
+	}
+	require.Equal(t, 2, count)
+	get(shareOf{upstream: "one", connections: 5}, members)
+	require.Equal(t, 3, count)
+	get(shareOf{upstream: "one"}, slices.Clone(members))
+	require.Equal(t, 4, count)
+	get(shareOf{upstream: "one"}, nil)
+	require.Equal(t, 5, count)
+}
--- a/io/member/roster.go
+++ b/io/member/roster.go
@@ -10,10 +10,7 @@
 
 	"github.com/cockroachdb/errors"
 
-	"banyanspring/core/catlg"
 	"banyanspring/core/event"
-	"banyanspring/core/group"
-	"banyanspring/core/place"
 	"banyanspring/core/share"
 	"banyanspring/io/delay"
 )
@@ -565,27 +562,3 @@
 		event.Log(ro.me.log, event.PlatformDown, "what", "leave", "error", err.Error())
 	}
 }
-
-// share returns this member's share of an upstream's connections.
-func (me *Member) share(up group.Upstream, gr catlg.Group) share.Share {
-	at := place.Site{Domain: up.Domain, Region: me.settings.RegionOf[up.Domain]}
-	return share.Of(up.ID, at, gr.Connections, me.roster.sharers(), me.settings.Name)
-}
-
-// sharers returns all members, by name. Those that do not answer are among
-// them until they are taken out of the store, so that all members agree.
-func (ro *roster) sharers() []share.Member {
-	ro.mu.Lock()
-	defer ro.mu.Unlock()
-	if ro.shared == nil {
-		ro.shared = make([]share.Member, 0, len(ro.members))
-		for _, kn := range ro.members {
-			ro.shared = append(ro.shared, share.Member{
-				Name: kn.entry.Name, Address: kn.entry.Relay, Weight: kn.entry.Weight,
-				Site: place.Site{Domain: kn.entry.Domain, Region: kn.entry.Region},
-			})
-		}
-		slices.SortFunc(ro.shared, func(left, right share.Member) int { return cmp.Compare(left.Name, right.Name) })
-	}
-	return ro.shared
-}
