--- a/io/member/follow.go
+++ b/io/member/follow.go
@@ -55,11 +55,24 @@
 		isKnown = err == nil
 		if err == nil {
 			fo.confirmedAt.raise(asked)
-			delay.Pause(ctx, fo.pause)
 		}
+		delay.Pause(ctx, fo.pauseAfter(err))
 	}
 }
 
+// pauseAfter returns the pause after a call. Calls that got no answer are spaced by
+// the pacer; an answer that says no, such as that there is no configuration yet,
+// stays the same for a while.
+func (fo *follower) pauseAfter(err error) time.Duration {
+	switch {
+	case err == nil:
+		return fo.pause
+	case isAnswer(err):
+		return retryPause
+	}
+	return storePoll
+}
+
 // isFresh reports whether the store need not be asked. At the start the word of
 // another member is waited for, if one is known.
 func (fo *follower) isFresh(now time.Time) bool {
--- a/io/member/member_test.go
+++ b/io/member/member_test.go
@@ -8,6 +8,7 @@
 	"testing"
 	"time"
 
+	"github.com/cockroachdb/errors"
 	"github.com/stretchr/testify/require"
 
 	"banyanspring/core/catlg"
@@ -165,3 +166,13 @@
 		require.NoError(t, held.mayChange(6, elect.Dead, now))
 	}
 }
+
+// A configuration that is not there yet was asked for 150 times a second by each
+// member, since the store did answer.
+func TestStoreIsNotAskedAgainAtOnce(t *testing.T) {
+	fo := &follower{pause: time.Second}
+	require.Equal(t, time.Second, fo.pauseAfter(nil))
+	require.Equal(t, retryPause, fo.pauseAfter(ErrObjectNotExist{}))
+	require.Equal(t, retryPause, fo.pauseAfter(ErrHistoryGone{}))
+	require.Equal(t, storePoll, fo.pauseAfter(errors.New("no answer")))
+}
--- a/io/member/pace.go
+++ b/io/member/pace.go
@@ -40,6 +40,11 @@
 	return &pacer{me: me, pacer: retry.NewPacer(storePause, storePauseMost)}
 }
 
+// isAnswer reports whether an error is the store's answer.
+func isAnswer(err error) bool {
+	return IsErrHistoryGone(err) || IsErrConflict(err) || IsErrObjectNotExist(err)
+}
+
 // may reports whether the store may be called now.
 func (pa *pacer) may() bool {
 	pa.mu.Lock()
@@ -51,11 +56,10 @@
 func (pa *pacer) note(err error) {
 	pa.mu.Lock()
 	defer pa.mu.Unlock()
-	isAnswered := err == nil || IsErrHistoryGone(err) || IsErrConflict(err) || IsErrObjectNotExist(err)
 	most := storePauseMost
 	if pa.me.life.State() == life.Starting {
 		most = storePauseStart
 	}
 	pa.pacer.SetMost(most)
-	pa.pacer.Note(isAnswered, pa.me.seams.Now(), rand.Float64())
+	pa.pacer.Note(err == nil || isAnswer(err), pa.me.seams.Now(), rand.Float64())
 }
