--- a/core/share/share.go
+++ b/core/share/share.go
@@ -59,12 +59,12 @@
 	// two keep the upstream in reach when one fails.
 	homesEach = 2
 	// deputiesEach is how many deputies an upstream has. A fleet that is split in
-	// halves leaves one of them without any of five instances once in 32, without
-	// any of two once in 4.
-	deputiesEach = 3
+	// halves leaves one of them without any of six instances once in 32, without
+	// any of two once in 2.
+	deputiesEach = 4
 	// deputyPart is the part of the connections that one deputy has: it serves
 	// few callers, and seldom.
-	deputyPart = 10
+	deputyPart = 12
 )
 
 // Of returns self's share of the connections to an upstream, which stands at
