--- a/io/engine/group.go
+++ b/io/engine/group.go
@@ -23,8 +23,6 @@
 	changed chan struct{}
 	// leader is the member that provably led last; nil if none is known.
 	leader *upstream
-	// lostAt is since when no leader is known; zero if one is.
-	lostAt time.Time
 	// readAt is when a read last needed evidence.
 	readAt time.Time
 	// crowded counts the reads refused since crowdedAt: the leader had no time
@@ -52,42 +50,6 @@
 	return &groupState{name: name, claims: make(map[string]claim), changed: make(chan struct{})}
 }
 
-// rejudge takes the member that most likely leads for the leader; mu is held.
-func (gr *groupState) rejudge(now time.Time) {
-	old := gr.leader
-	gr.leader = gr.judge()
-	switch {
-	case gr.leader != nil:
-		gr.lostAt = time.Time{}
-	case gr.lostAt.IsZero():
-		gr.lostAt = now
-	}
-	if gr.leader != old {
-		gr.wake()
-	}
-}
-
-// leaderGap is how long a group may be without a leader that is reached before
-// its requests are refused at once. A change of leader takes some two seconds
-// where promotions take longest; what takes longer may take any time.
-const leaderGap = 2500 * time.Millisecond
-
-// isLeaderLost reports whether the leader has been missing for so long that there
-// is no use in waiting for one.
-func (gr *groupState) isLeaderLost(now time.Time) bool {
-	gr.mu.Lock()
-	defer gr.mu.Unlock()
-	since := gr.lostAt
-	if gr.leader != nil {
-		ns := gr.leader.unreachedSince.Load()
-		if ns == 0 {
-			return false
-		}
-		since = time.Unix(0, ns)
-	}
-	return !since.IsZero() && now.Sub(since) > leaderGap
-}
-
 // wake tells those who wait that something changed; mu is held.
 func (gr *groupState) wake() {
 	close(gr.changed)
@@ -111,7 +73,11 @@
 		claims[up.id()] = cl
 	}
 	gr.claims = claims
-	gr.rejudge(now)
+	old := gr.leader
+	gr.leader = gr.judge()
+	if old != gr.leader {
+		gr.wake()
+	}
 }
 
 // judge returns the member that most likely leads; mu is held. The latest word
@@ -164,8 +130,12 @@
 		gr.claims[up.id()] = cl
 	}
 	gr.track.Add(evid.Sample{Asked: asked, Position: po})
-	if gr.leader != up {
-		gr.rejudge(asked)
+	if gr.leader == up {
+		return
+	}
+	gr.leader = gr.judge()
+	if gr.leader == up {
+		gr.wake()
 	}
 }
 
@@ -176,7 +146,11 @@
 	cl := gr.claims[up.id()]
 	cl.deniedAt = now
 	gr.claims[up.id()] = cl
-	gr.rejudge(now)
+	old := gr.leader
+	gr.leader = gr.judge()
+	if gr.leader != old {
+		gr.wake()
+	}
 }
 
 // floor returns the position that data no older than maxAge includes, and false
@@ -225,7 +199,11 @@
 	}
 	cl.provenAt = provenAt
 	gr.claims[id] = cl
-	gr.rejudge(provenAt)
+	old := gr.leader
+	gr.leader = gr.judge()
+	if gr.leader != old {
+		gr.wake()
+	}
 }
 
 // opinion returns what is known of the leader.
--- a/io/engine/single.go
+++ b/io/engine/single.go
@@ -92,9 +92,6 @@
 			return nil, tr.giveUp("no leader was found")
 		}
 		tr.en.seek(tr.gr)
-		if tr.gr.isLeaderLost(now) {
-			return nil, tr.giveUp("there has been no leader for long")
-		}
 		timer := time.NewTimer(min(left, leaderPoll))
 		select {
 		case <-changed:
@@ -123,9 +120,6 @@
 	pause := time.Duration(0)
 	switch ref.Code {
 	case codes.QueueFull, codes.ConnectionsInUse, codes.PeerUnreached, codes.NotHome:
-		if ref.Code == codes.PeerUnreached && up.isCutOff(tr.en.seams.Now()) && (times > 1 || tr.rq.st.IsWrite()) {
-			return false
-		}
 		pause = min(busyPause<<(times-1), busyPauseMost)
 	case codes.UpstreamUnreached, codes.UpstreamReplaced:
 		up.failed(tr.en.seams.Now())
--- a/io/engine/upstream.go
+++ b/io/engine/upstream.go
@@ -33,9 +33,6 @@
 	// unreachedSince is when the first failure in a row was, in Unix
 	// nanoseconds; 0 if it was reached last.
 	unreachedSince atomic.Int64
-	// cutSince is since when nobody who leads to the upstream is reached, in Unix
-	// nanoseconds; 0 if somebody was last.
-	cutSince atomic.Int64
 	// stalls holds when the last writes went unanswered, in Unix nanoseconds.
 	stalls [maxStalls]atomic.Int64
 	// wroteAt is when a write was last answered, in Unix nanoseconds.
@@ -112,18 +109,8 @@
 	return time.Duration(latency)
 }
 
-// isCutOff notes that nobody who leads to the upstream was reached, and reports
-// whether that has been so for long.
-func (up *upstream) isCutOff(now time.Time) bool {
-	up.cutSince.CompareAndSwap(0, now.UnixNano())
-	return now.UnixNano()-up.cutSince.Load() > int64(leaderGap)
-}
-
 // succeeded notes an answer.
 func (up *upstream) succeeded() {
-	if up.cutSince.Load() != 0 {
-		up.cutSince.Store(0)
-	}
 	if up.timeouts.Load() != 0 {
 		up.timeouts.Store(0)
 	}
