Make no call for the present leader, and carry on what was not answered

The survey of frozen replicas had made the same call before, more seldom. Change: no call for the present leader. A change whose call was not answered is carried on, for the same upstream and with the same token, until it leads, is refused or is gone; what is frozen for it stays so meanwhile. Then a newer token is drawn. A replica that is found frozen for another change is not relied on, unless the leader is dead. Replicas that a predecessor left frozen are let go 13 s after the duty was taken, when its calls are over.

--- a/core/elect/elect.go
+++ b/core/elect/elect.go
@@ -69,6 +69,9 @@
 	None Reason = ""
 	// Dead leaders were heard of by nobody for a while.
 	Dead Reason = "dead"
+	// Unfinished changes are carried on: the call for the new leader was not
+	// answered and may be carried out at any time.
+	Unfinished Reason = "unfinished"
 	// Leaving leaders are replaced while they still serve.
 	Leaving Reason = "leaving"
 	// Unreached leaders are cut off from a good part of the instances.
--- a/core/event/event.go
+++ b/core/event/event.go
@@ -56,7 +56,6 @@
 	DutyTaken      ID = 405
 	DutyRefused    ID = 406
 	DutyLeft       ID = 407
-	FenceLow       ID = 409
 
 	DocumentAdopted  ID = 501
 	DocumentRejected ID = 502
@@ -127,7 +126,6 @@
 	{MembersChanged, slog.LevelInfo, "members_changed", "The instances known have changed, and with them the shares of connections."},
 	{DutyTaken, slog.LevelInfo, "duty_taken", "This instance watches over the groups from now on."},
 	{DutyLeft, slog.LevelInfo, "duty_left", "Another instance holds the duty from now on."},
-	{FenceLow, slog.LevelInfo, "fence_low", "The platform did not answer a call that raises the fence of a group; it is made again."},
 	{DutyRefused, slog.LevelWarn, "duty_refused", "A newer holder of the duty was known; this instance stops until it has a newer token."},
 
 	{DocumentAdopted, slog.LevelInfo, "document_adopted", "A newer configuration document is in force here."},
--- a/io/member/change.go
+++ b/io/member/change.go
@@ -39,7 +39,7 @@
 		return
 	}
 	gu.leader, gu.watchedSince, gu.heardAt, gu.refused = candidate, now, now, false
-	gu.changedAt, gu.failures = now, 0
+	gu.changedAt, gu.failures, gu.fence.pending = now, 0, ""
 	event.Log(gu.me.log, event.HandoverDone, "group", gu.name, "upstream", candidate, "reason", string(reason),
 		"took", now.Sub(began).String())
 }
@@ -54,14 +54,14 @@
 	defer gu.renew(token)
 	vi, leader := gu.me.listing(), gu.currentLeader()
 	if err := gu.fenceNow().mayChange(token, reason, gu.me.seams.Now()); err != nil {
-		if errors.Is(err, errFenceLow) {
-			err = errors.CombineErrors(err, gu.raise(ctx, leader))
-		}
 		return "", err
 	}
 	replicas := others(vi.Members(gu.name), leader)
 	surveyed := gu.each(replicas, func(co *pool.Conn, deadline time.Time) (pool.Report, error) { return co.Status(deadline) })
-	candidate, ok := elect.Choose(gu.states(replicas, surveyed))
+	if err := gu.fenceNow().mayUse(surveyed, reason); err != nil {
+		return "", err
+	}
+	candidate, ok := gu.choose(gu.states(replicas, surveyed))
 	if !ok {
 		return "", errNoCandidate
 	}
@@ -72,25 +72,37 @@
 	})
 	states := gu.states(frozen, reports)
 	err := gu.confirm(ctx, vi, candidate, states, term)
-	if err != nil && errors.Is(err, errBehind) {
+	if err != nil && errors.Is(err, errBehind) && gu.fenceNow().pending == "" {
 		// A frozen replica has more. With all frozen nothing more can be
 		// acknowledged, so that the one with most is the one to promote.
 		frozen = replicas
 		candidate, err = gu.freezeAll(vi, candidate, states, term)
 	}
 	if err != nil {
-		gu.letGo(token, frozen)
+		gu.letGo(frozen)
 		return candidate.ID, err
 	}
 	event.Log(gu.me.log, event.PromotionBegun, "group", gu.name, "candidate", candidate.ID, "reason", string(reason),
 		"term", term+1, "token", token, "old", leader)
 	if err := gu.appoint(ctx, vi, candidate.ID, token); err != nil {
-		gu.letGo(token, frozen)
+		gu.letGo(frozen)
 		return candidate.ID, err
 	}
 	return candidate.ID, nil
 }
 
+// choose returns the replica to promote: the one that an unanswered call is for, as
+// long as it is listed, since that call may be carried out at any time.
+func (gu *guard) choose(states []elect.Replica) (elect.Replica, bool) {
+	pending := gu.fenceNow().pending
+	for _, re := range states {
+		if re.ID == pending {
+			return re, re.Answered
+		}
+	}
+	return elect.Choose(states)
+}
+
 // freezeAll freezes the candidate too and returns the best of all.
 func (gu *guard) freezeAll(vi group.View, candidate elect.Replica, states []elect.Replica, term uint64) (elect.Replica, error) {
 	up, _ := vi.GetUpstreamByID(candidate.ID)
@@ -246,10 +258,10 @@
 }
 
 // survey looks for replicas that an earlier holder of the duty, or an order that
-// was not answered, has left frozen, and lets them receive. The fence is raised
-// first: a call of the earlier holder must not follow, since it would rely on
-// the replicas being frozen.
-func (gu *guard) survey(ctx context.Context, members []group.Upstream, leader string) {
+// was not answered, has left frozen, and lets them receive. An earlier holder's call
+// must not follow, since it would rely on their being frozen; by then it is too late
+// for one.
+func (gu *guard) survey(members []group.Upstream, leader string) {
 	answers := gu.each(others(members, leader), func(co *pool.Conn, deadline time.Time) (pool.Report, error) {
 		return co.Status(deadline)
 	})
@@ -260,17 +272,8 @@
 		}
 	}
 	if len(frozen) > 0 {
-		token, _ := gu.me.roster.Token()
-		err := gu.raise(ctx, leader)
-		event.Log(gu.me.log, event.ReplicasThawed, "group", gu.name, "replicas", len(frozen), "leader", leader, "token", token,
-			"error", errText(err))
-		if err == nil {
-			gu.thaw(frozen)
-		} else {
-			gu.mu.Lock()
-			gu.surveyAt = gu.me.seams.Now().Add(surveyRetry)
-			gu.mu.Unlock()
-		}
+		event.Log(gu.me.log, event.ReplicasThawed, "group", gu.name, "replicas", len(frozen), "leader", leader)
+		gu.thaw(frozen)
 	}
 	gu.mu.Lock()
 	defer gu.mu.Unlock()
--- a/io/member/fence.go
+++ b/io/member/fence.go
@@ -7,73 +7,67 @@
 	"github.com/cockroachdb/errors"
 
 	"banyanspring/core/elect"
-	"banyanspring/core/event"
 	"banyanspring/core/group"
 )
 
-// fence is what a guard knows of its calls that appoint leaders. A call that was
-// not answered may be carried out seconds later, after newer ones, unless its
-// token is lower than one the platform has seen by then. It is modelled in
-// spec/handover.pml.
+// fence is what a guard knows of its calls that appoint leaders, and of freezes
+// that others may rely on. A call that was not answered may be carried out seconds
+// later. It is modelled in spec/handover.pml.
+//
+// The fence is never raised by a call for the present leader, which is said to
+// change nothing: if the leader has changed by then, it appoints the old one again.
 type fence struct {
-	// raised is the newest token that the platform has answered, and raisedAt
-	// when.
-	raised   uint64
-	raisedAt time.Time
 	// spent is the newest token of a call that was refused or not answered. It
-	// must not be used again, since that call would pass with it.
+	// must not be used for another change: the late call would pass with it.
 	spent uint64
-	// tryAt is when to try again to raise the fence.
-	tryAt time.Time
+	// pending is the upstream of a call that was not answered. What was frozen for
+	// it stays frozen, and the change is carried on with the same token, until it
+	// leads or is gone.
+	pending string
 	// unsureUntil is until when a replica may yet be let go by an order that was
 	// not answered.
 	unsureUntil time.Time
 }
 
-const (
-	// fenceSettle is kept between raising the fence and the first freeze. An
-	// earlier holder lets replicas go right after it has raised the fence itself,
-	// some milliseconds away.
-	fenceSettle = 300 * time.Millisecond
-	// fenceRetry is kept after a fence that could not be raised.
-	fenceRetry = time.Second
-	// lateOrder is how long after it was sent an order may be carried out at the
-	// most, as the platform's pages and the bench have it: 12 s, and one more.
-	lateOrder = 13 * time.Second
-)
+// lateOrder is how long after it was sent a call or an order may be carried out at
+// the most, as the platform's pages and the bench have it: 12 s, and one more.
+const lateOrder = 13 * time.Second
 
 var (
-	errTokenSpent  = errors.New("the token was spent on a call without an answer")
-	errFenceLow    = errors.New("the fence has not been raised yet")
-	errUnsureOrder = errors.New("an order without an answer may still let a replica go")
+	errTokenSpent    = errors.New("the token was spent on a call without an answer")
+	errUnsureOrder   = errors.New("an order without an answer may still let a replica go")
+	errForeignFreeze = errors.New("a replica is frozen for another change")
 )
 
-// isFresh reports whether the token may be used for calls.
-func (fe fence) isFresh(token uint64) bool { return token > fe.spent }
-
-// isRaised reports whether no older call can be carried out, and earlier holders
-// have had time for what they do right after raising the fence.
-func (fe fence) isRaised(token uint64, now time.Time) bool {
-	return fe.raised == token && fe.isFresh(token) && now.Sub(fe.raisedAt) >= fenceSettle
-}
-
 // mayChange returns why a change of leader must not begin; nil if it may. A dead
 // leader acknowledges nothing, so that a late call or order cannot lose anything
 // that it has acknowledged, and callers wait.
 func (fe fence) mayChange(token uint64, reason elect.Reason, now time.Time) error {
 	switch {
-	case reason == elect.Dead:
+	case reason == elect.Dead, fe.pending != "":
 		return nil
-	case !fe.isFresh(token):
+	case token <= fe.spent:
 		return errTokenSpent
-	case !fe.isRaised(token, now):
-		return errFenceLow
-	case reason != elect.Leaving && now.Before(fe.unsureUntil):
+	case now.Before(fe.unsureUntil) && (reason == elect.Unreached || reason == elect.Stalled || reason == elect.Crowded):
 		return errUnsureOrder
 	}
 	return nil
 }
 
+// mayUse returns why the replicas must not be relied on; nil if they may. One that
+// is frozen for another holder's change may be let go by that one at any time.
+func (fe fence) mayUse(surveyed map[string]answer, reason elect.Reason) error {
+	if reason == elect.Dead || fe.pending != "" {
+		return nil
+	}
+	for _, an := range surveyed {
+		if an.err == nil && an.report.Frozen > 0 {
+			return errForeignFreeze
+		}
+	}
+	return nil
+}
+
 // fenceNow returns what the guard knows of its calls.
 func (gu *guard) fenceNow() fence {
 	gu.mu.Lock()
@@ -81,46 +75,6 @@
 	return gu.fence
 }
 
-// needsFence reports whether the fence is to be raised with this holder's token
-// while all is well; mu is held. A leader that was not heard lately may not run,
-// and a call for it would be refused for that.
-func (gu *guard) needsFence(now time.Time) bool {
-	token, ok := gu.me.roster.Token()
-	return ok && gu.fence.raised != token && !now.Before(gu.fence.tryAt) && now.Sub(gu.heardAt) < askAfter+guardAsk
-}
-
-// beginFence raises the fence if that is due; mu is held.
-func (gu *guard) beginFence(ctx context.Context, leader group.Upstream, now time.Time) {
-	if !gu.needsFence(now) {
-		return
-	}
-	gu.fence.tryAt = now.Add(fenceRetry)
-	gu.isChanging = true
-	go func() {
-		err := gu.raise(ctx, leader.ID)
-		gu.mu.Lock()
-		defer gu.mu.Unlock()
-		gu.isChanging = false
-		if err != nil {
-			event.Log(gu.me.log, event.FenceLow, "group", gu.name, "upstream", leader.ID, "error", err.Error())
-		}
-	}()
-}
-
-// raise calls for the present leader, which changes nothing, so that no older call
-// is carried out any more.
-func (gu *guard) raise(ctx context.Context, leader string) error {
-	token, ok := gu.me.roster.Token()
-	if !ok {
-		return errors.New("no token")
-	}
-	if !gu.fenceNow().isFresh(token) {
-		gu.me.roster.draw(token)
-		return errTokenSpent
-	}
-	return gu.call(ctx, leader, token)
-}
-
 // call appoints an upstream and notes what that says of the token.
 func (gu *guard) call(ctx context.Context, id string, token uint64) error {
 	ctx, cancel := context.WithTimeout(ctx, appointWait)
@@ -128,36 +82,50 @@
 	err := gu.me.seams.Appoint(ctx, Appointment{
 		Group: gu.name, Upstream: id, Holder: gu.me.settings.Name, Token: token,
 	})
+	if err == nil || IsErrAppointDeferred(err) {
+		return err
+	}
 	gu.mu.Lock()
 	defer gu.mu.Unlock()
-	if err != nil {
-		if !IsErrAppointDeferred(err) {
-			gu.fence.spent = max(gu.fence.spent, token)
-		}
-		return err
+	gu.fence.spent = max(gu.fence.spent, token)
+	gu.fence.pending = id
+	if IsErrAppointRefused(err) {
+		// Whatever was under way with the token will be refused too.
+		gu.fence.pending = ""
 	}
-	if gu.fence.raised != token {
-		gu.fence.raised, gu.fence.raisedAt = token, gu.me.seams.Now()
+	return err
+}
+
+// unfinished returns the reason to carry on a change whose call was not answered;
+// mu is held.
+func (gu *guard) unfinished(vi group.View, leader string, now time.Time) elect.Reason {
+	switch _, isListed := vi.GetUpstreamByID(gu.fence.pending); {
+	case gu.fence.pending == "":
+	case gu.fence.pending == leader:
+		gu.fence.pending = ""
+	case !isListed:
+		// Its log is gone, and the call is refused when it comes.
+		gu.fence.pending = ""
+		gu.surveyAt = now
+	default:
+		return elect.Unfinished
 	}
-	return nil
+	return elect.None
 }
 
-// renew draws a newer token if this one is spent, while there is time for it.
+// renew draws a newer token if this one is spent, while there is time for it. A call
+// that was not answered is made again with the token that it had, so that a newer
+// holder's token keeps both out.
 func (gu *guard) renew(token uint64) {
-	if !gu.fenceNow().isFresh(token) {
+	if fe := gu.fenceNow(); fe.pending == "" && token <= fe.spent {
 		gu.me.roster.draw(token)
 	}
 }
 
-// letGo lets frozen replicas receive again after a change that did not go on. If a
-// call may be under way that relies on the freeze, or an earlier holder's, that is
-// left to the survey, which raises the fence first.
-func (gu *guard) letGo(token uint64, frozen []group.Upstream) {
-	if gu.fenceNow().isRaised(token, gu.me.seams.Now()) {
+// letGo lets frozen replicas receive again after a change that did not go on,
+// unless a call may be under way that relies on the freeze.
+func (gu *guard) letGo(frozen []group.Upstream) {
+	if gu.fenceNow().pending == "" {
 		gu.thaw(frozen)
-		return
 	}
-	gu.mu.Lock()
-	defer gu.mu.Unlock()
-	gu.surveyAt = gu.me.seams.Now()
 }
--- a/io/member/guard.go
+++ b/io/member/guard.go
@@ -41,8 +41,8 @@
 	changeRetry     = 100 * time.Millisecond
 	changeRetryMost = 1600 * time.Millisecond
 	// surveyAfter is how long after taking the duty a holder looks for replicas
-	// that its predecessor left frozen: changes under way are over by then.
-	surveyAfter = 3 * time.Second
+	// that its predecessor left frozen: calls of that one are over by then.
+	surveyAfter = lateOrder
 	// surveyRetry is kept before another look.
 	surveyRetry = time.Second
 	// catchUpTries is how often a candidate that is behind is looked at again.
@@ -168,7 +168,7 @@
 	gu.mu.Lock()
 	defer gu.mu.Unlock()
 	gu.keepPools(members)
-	defer gu.beginSurvey(ctx, members, now)
+	defer gu.beginSurvey(members, now)
 	if op.Leader != "" && op.Leader != gu.leader {
 		if gu.leader != "" {
 			// Somebody else has changed the lead.
@@ -197,10 +197,10 @@
 		StalledWrites: op.StalledWrites, WroteAt: op.WroteAt, CrowdedReads: op.CrowdedReads, ReplicaAt: op.ReplicaAt,
 	})
 	reason := elect.Judge(ev, gu.leader, timing, now)
+	if unfinished := gu.unfinished(vi, op.Leader, now); reason == elect.None {
+		reason = unfinished
+	}
 	if reason == elect.None || now.Before(gu.retryAt) || len(members) < 2 {
-		if reason == elect.None && isListed {
-			gu.beginFence(ctx, leader, now)
-		}
 		return
 	}
 	event.Log(gu.me.log, event.PrimarySuspected, "group", gu.name, "upstream", gu.leader, "reason", string(reason),
@@ -210,13 +210,13 @@
 }
 
 // beginSurvey looks for frozen replicas if that is due; mu is held.
-func (gu *guard) beginSurvey(ctx context.Context, members []group.Upstream, now time.Time) {
-	if gu.isChanging || gu.leader == "" || gu.surveyAt.IsZero() || now.Before(gu.surveyAt) {
+func (gu *guard) beginSurvey(members []group.Upstream, now time.Time) {
+	if gu.isChanging || gu.leader == "" || gu.fence.pending != "" || gu.surveyAt.IsZero() || now.Before(gu.surveyAt) {
 		return
 	}
 	gu.surveyAt = time.Time{}
 	gu.isChanging = true
-	go gu.survey(ctx, members, gu.leader)
+	go gu.survey(members, gu.leader)
 }
 
 // keepPools drops the connections to members that are gone; mu is held.
