Apply shares at once, and share a full upstream's connections

Change: shares are applied when the members change and before a member is ready. When an upstream has no room for another connection, requests wait for the open ones of the pool, and the next opening waits 150 ms; only a pool without any tells them. The pattern connections_of_the_dead_linger: TestRequestsShareTheOpenConnectionsOfAFullUpstream failed before.

--- a/io/engine/engine.go
+++ b/io/engine/engine.go
@@ -157,17 +157,29 @@
 	up.pool.SetShare(en.seams.Share(info, gr))
 }
 
-// Maintain applies changed shares and closes unused connections. It is called
-// every second or so.
-func (en *Engine) Maintain() {
+// ApplyShares gives all pools this instance's shares. It is called when these may
+// have changed.
+func (en *Engine) ApplyShares() {
+	for _, up := range en.allUpstreams() {
+		en.applyShare(up)
+	}
+}
+
+func (en *Engine) allUpstreams() []*upstream {
 	en.mu.Lock()
+	defer en.mu.Unlock()
 	ups := make([]*upstream, 0, len(en.upstreams))
 	for _, up := range en.upstreams {
 		ups = append(ups, up)
 	}
-	en.mu.Unlock()
-	for _, up := range ups {
-		en.applyShare(up)
+	return ups
+}
+
+// Maintain applies changed shares and closes unused connections. It is called
+// every second or so.
+func (en *Engine) Maintain() {
+	en.ApplyShares()
+	for _, up := range en.allUpstreams() {
 		up.pool.Sweep()
 	}
 	en.seams.Pool.Relays.Sweep(en.settings.Pool.IdleTimeout)
--- a/io/member/member.go
+++ b/io/member/member.go
@@ -202,6 +202,18 @@
 	return me.engine.GetPoolByUpstream(upstream)
 }
 
+// followShares applies the shares of connections when the members have changed.
+func (me *Member) followShares(ctx context.Context) {
+	for {
+		select {
+		case <-me.roster.reshare:
+			me.engine.ApplyShares()
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
 // tick does what is due again and again.
 func (me *Member) tick(ctx context.Context) {
 	maintainAt := me.seams.Now()
@@ -244,6 +256,8 @@
 	if !me.roster.isKnown() && now.Sub(me.equippedAt.load()) < membersPatience {
 		return
 	}
+	// A home that does not know that it is one turns the batches of others away.
+	me.engine.ApplyShares()
 	if err := me.life.Ready(); err == nil {
 		event.Log(me.log, event.DaemonServing, "catalog_version", me.catalog.Current().Version,
 			"members", len(me.roster.sharers()))
--- a/io/member/plugins.go
+++ b/io/member/plugins.go
@@ -30,6 +30,7 @@
 		background("catalog", (*Member).followCatalog),
 		background("listing", (*Member).followListing),
 		background("members", func(me *Member, ctx context.Context) { me.roster.follow(ctx) }),
+		background("shares", (*Member).followShares),
 		background("exchange", func(me *Member, ctx context.Context) { me.peers.follow(ctx) }),
 		background("guards", func(me *Member, ctx context.Context) { me.guards.run(ctx) }),
 		background("upkeep", (*Member).tick),
--- a/io/member/roster.go
+++ b/io/member/roster.go
@@ -87,8 +87,8 @@
 	domains map[string]time.Time
 	// confirmedAt is when the store last confirmed the list.
 	confirmedAt instant
-	// wake has the own object looked at.
-	wake chan struct{}
+	// wake has the own object looked at, and reshare the shares of connections.
+	wake, reshare chan struct{}
 }
 
 func newRoster(me *Member) *roster {
@@ -101,7 +101,7 @@
 		Region:  me.settings.Site.Region,
 		Started: time.Now().UnixNano(),
 	}
-	return &roster{me: me, members: make(map[string]*known), domains: make(map[string]time.Time), self: self, wake: make(chan struct{}, 1)}
+	return &roster{me: me, members: make(map[string]*known), domains: make(map[string]time.Time), self: self, wake: make(chan struct{}, 1), reshare: make(chan struct{}, 1)}
 }
 
 // follow tells the store of this member and learns of the others.
@@ -138,9 +138,12 @@
 }
 
 // prod has the own object looked at.
-func (ro *roster) prod() {
+func (ro *roster) prod() { signal(ro.wake) }
+
+// signal makes a channel of one place ready, if it is not.
+func signal(ch chan struct{}) {
 	select {
-	case ro.wake <- struct{}{}:
+	case ch <- struct{}{}:
 	default:
 	}
 }
@@ -375,8 +378,9 @@
 	}
 }
 
-// changed logs the members; mu is held.
+// changed logs the members and has the shares applied; mu is held.
 func (ro *roster) changed() {
+	signal(ro.reshare)
 	event.Log(ro.me.log, event.MembersChanged, "members", len(ro.members), "token", ro.token())
 }
 
--- a/io/pool/pool.go
+++ b/io/pool/pool.go
@@ -61,6 +61,9 @@
 	closed bool
 	// dialing counts the connections that are being opened; at most dialsAtOnce.
 	dialing int
+	// fullUntil is until when no connection is opened, since the upstream had no
+	// room for one more.
+	fullUntil time.Time
 	// turn ends when a connection becomes idle or one that was being opened
 	// fails; it is replaced then.
 	turn *turn
@@ -264,7 +267,7 @@
 		po.idle = po.idle[:last]
 		return co, nil, nil
 	}
-	if po.dialing < dialsAtOnce && !po.isFull(0) {
+	if po.dialing < dialsAtOnce && !po.isFull(0) && !po.seams.Now().Before(po.fullUntil) {
 		po.dialing++
 		po.open.Add(1)
 		go po.dialOne()
@@ -285,9 +288,23 @@
 		_ = co.net.Close()
 	}
 	po.open.Add(-1)
+	if codes.Is(err, codes.ConnectionsInUse) && po.open.Load() > 0 {
+		// Those that are open serve the requests, one after the other.
+		po.fullUntil = po.seams.Now().Add(fullPause)
+		time.AfterFunc(fullPause, func() {
+			po.mu.Lock()
+			defer po.mu.Unlock()
+			po.endTurn(nil)
+		})
+		return
+	}
 	po.endTurn(err)
 }
 
+// fullPause is kept before another connection is tried at an upstream that had no
+// room. It drops the connections of instances that are gone after seconds.
+const fullPause = 150 * time.Millisecond
+
 // isFull reports whether there are as many connections as there may be, and more
 // than that by so many; mu is held.
 func (po *Pool) isFull(more int) bool { return int(po.open.Load()) >= max(1, po.share.Quota)+more }
--- a/io/pool/pool_test.go
+++ b/io/pool/pool_test.go
@@ -5,6 +5,7 @@
 	"context"
 	"net"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -27,6 +28,8 @@
 	now    time.Time
 	// answer holds the greeting of upstreams back if it is not nil.
 	answer chan struct{}
+	// isFull has upstreams greet with a refusal.
+	isFull atomic.Bool
 }
 
 func (fn *fakeNet) clock() time.Time {
@@ -86,6 +89,9 @@
 			if fn.answer != nil {
 				<-fn.answer
 			}
+			if fn.isFull.Load() {
+				return stmt.Result{Code: codes.ConnectionsInUse}, nil
+			}
 			return stmt.Result{State: stmt.Idle}, nil
 		},
 	}
@@ -242,3 +248,30 @@
 	require.NoError(t, <-got)
 	require.Equal(t, 1, fn.dials("db"))
 }
+
+// The pattern connections_of_the_dead_linger: after a restart an upstream still holds
+// the connections of before and has room for few. Requests wait for these.
+func TestRequestsShareTheOpenConnectionsOfAFullUpstream(t *testing.T) {
+	fn := &fakeNet{t: t, cutOff: map[string]bool{}}
+	po := fn.newPool(share.Share{Quota: 5, Holders: 1})
+	first, err := fn.acquire(po)
+	require.NoError(t, err)
+	fn.isFull.Store(true)
+	got := make(chan error, 1)
+	go func() {
+		_, err := fn.acquire(po)
+		got <- err
+	}()
+	require.Eventually(t, func() bool { return fn.dials("db") == 2 }, time.Minute, time.Millisecond)
+	po.Release(first)
+	require.NoError(t, <-got)
+	require.Equal(t, 2, fn.dials("db"))
+}
+
+func TestFullUpstreamWithoutOpenConnectionsIsTold(t *testing.T) {
+	fn := &fakeNet{t: t, cutOff: map[string]bool{}}
+	fn.isFull.Store(true)
+	po := fn.newPool(share.Share{Quota: 5, Holders: 1})
+	_, err := fn.acquire(po)
+	require.True(t, codes.Is(err, codes.ConnectionsInUse), "%v", err)
+}
