Split the pool by what its parts do

Opening connections (dial.go), what is said between instances (message.go) and the home's side (server.go) have files of their own.

--- a/io/pool/relay.go
+++ b/io/pool/relay.go
@@ -2,20 +2,16 @@
 
 import (
 	"context"
-	"math"
 	"net"
 	"os"
 	"sync"
-	"sync/atomic"
 	"time"
 
 	"github.com/cockroachdb/errors"
 	"github.com/fxamacker/cbor/v2"
 
 	"banyanspring/core/codes"
-	"banyanspring/core/posn"
 	"banyanspring/core/stmt"
-	"banyanspring/core/vars"
 )
 
 // Relays reaches upstreams through other instances that hold the connections
@@ -65,61 +61,6 @@
 	usedAt  time.Time
 }
 
-// batchMessage asks a home to run a batch.
-type batchMessage struct {
-	_        struct{} `cbor:",toarray"`
-	Upstream string
-	Caller   string
-	// PatienceMs bounds the wait for a turn, and WaitMs the whole. AimMs is the
-	// time in which the statement should be answered; noAim if there is none.
-	PatienceMs int64
-	WaitMs     int64
-	AimMs      int64
-	Values     []string
-	PlanWrites bool
-	PlanShape  string
-	AnyVars    bool
-	Keep       bool
-	Statements []statementMessage
-}
-
-type statementMessage struct {
-	_           struct{} `cbor:",toarray"`
-	RequestID   string
-	Kind        uint8
-	Text        string
-	Name        string
-	Argument    string
-	Writes      bool
-	FloorTerm   uint64
-	FloorOffset uint64
-}
-
-// resultsMessage is a home's answer.
-type resultsMessage struct {
-	_ struct{} `cbor:",toarray"`
-	// Refusal is a code if the batch was not run, and 0 if it was.
-	Refusal uint32
-	Detail  string
-	// Broken tells why the upstream's connection broke; empty if it did not.
-	Broken string
-	// NotSent is true if it broke before anything was sent, and TimedOut if the
-	// upstream did not answer by the deadline.
-	NotSent, TimedOut bool
-	Results           []resultMessage
-}
-
-type resultMessage struct {
-	_       struct{} `cbor:",toarray"`
-	Rows    []byte
-	Receipt string
-	Code    uint32
-	Detail  string
-	State   uint8
-	Term    uint64
-	Offset  uint64
-}
-
 // choose returns the home for the next batch: the one with the fewest batches
 // under way from here of those that have not failed lately.
 func (rs *Relays) choose(homes []string) (string, bool) {
@@ -280,166 +221,5 @@
 	return results, nil
 }
 
-// noAim stands for a statement that is worth as much whenever it is answered.
-const noAim = math.MinInt64
-
-func aimMs(aim, now time.Time) int64 {
-	if aim.IsZero() {
-		return noAim
-	}
-	return aim.Sub(now).Milliseconds()
-}
-
-// ask returns what the batch asks of a home.
-func (msg batchMessage) ask(now time.Time) Ask {
-	after := func(ms int64) time.Time { return now.Add(time.Duration(ms) * time.Millisecond) }
-	as := Ask{Caller: msg.Caller, Patience: after(msg.PatienceMs), Deadline: after(msg.WaitMs)}
-	if msg.AimMs != noAim {
-		as.Aim = after(msg.AimMs)
-	}
-	return as
-}
-
 // relayGrace is what a home's answer may take beyond the batch's deadline.
 const relayGrace = 30 * time.Millisecond
-
-func fromMessages(msgs []resultMessage) []stmt.Result {
-	out := make([]stmt.Result, 0, len(msgs))
-	for _, msg := range msgs {
-		out = append(out, stmt.Result{
-			Rows: msg.Rows, Receipt: msg.Receipt, Code: codes.Code(msg.Code), Detail: msg.Detail, State: stmt.State(msg.State),
-			Position: posn.Position{Term: posn.Term{Number: msg.Term}, Offset: msg.Offset},
-		})
-	}
-	return out
-}
-
-func toMessages(results []stmt.Result) []resultMessage {
-	out := make([]resultMessage, 0, len(results))
-	for _, res := range results {
-		out = append(out, resultMessage{
-			Rows: res.Rows, Receipt: res.Receipt, Code: uint32(res.Code), Detail: res.Detail, State: uint8(res.State),
-			Term: res.Position.Term.Number, Offset: res.Position.Offset,
-		})
-	}
-	return out
-}
-
-// Server runs the batches of other instances. It is safe for concurrent use.
-type Server struct {
-	// find returns the pool of an upstream, or nil if this instance is not, or
-	// no longer, its home.
-	find func(upstream string) *Pool
-	now  func() time.Time
-	held atomic.Int32
-}
-
-// NewServer returns a server that holds nothing.
-func NewServer(now func() time.Time, find func(upstream string) *Pool) *Server {
-	return &Server{find: find, now: now}
-}
-
-// Held returns how many connections are kept for transactions of others.
-func (sv *Server) Held() int { return int(sv.held.Load()) }
-
-// lease is what one link holds at this home.
-type lease struct {
-	*Server
-	// conn is nil unless a transaction is kept open for the link.
-	conn *Conn
-	id   string
-}
-
-// Serve runs the batches that come over a link until it ends. What it holds is
-// rolled back then.
-func (sv *Server) Serve(raw net.Conn) {
-	defer func() { _ = raw.Close() }()
-	le := &lease{Server: sv}
-	defer le.end()
-	enc, dec := cbor.NewEncoder(raw), cbor.NewDecoder(raw)
-	for {
-		var msg batchMessage
-		if err := dec.Decode(&msg); err != nil {
-			return
-		}
-		answer := le.run(msg)
-		_ = raw.SetWriteDeadline(time.Now().Add(relayWrite))
-		if err := enc.Encode(answer); err != nil {
-			return
-		}
-	}
-}
-
-// relayWrite bounds the sending of results to an instance that does not read.
-const relayWrite = time.Second
-
-func (le *lease) end() {
-	if le.conn != nil {
-		le.conn.pool.Discard(le.conn)
-		le.conn = nil
-		le.held.Add(-1)
-	}
-}
-
-// run runs one batch on the connection kept or on one from the pool.
-func (le *lease) run(msg batchMessage) resultsMessage {
-	as := msg.ask(le.now())
-	if le.conn == nil {
-		po := le.find(msg.Upstream)
-		if po == nil || po.currentShare().Quota == 0 {
-			return resultsMessage{Refusal: uint32(codes.NotHome), Detail: msg.Upstream}
-		}
-		co, err := po.AcquireHere(as)
-		if err != nil {
-			ref := codes.From(err)
-			return resultsMessage{Refusal: uint32(ref.Code), Detail: ref.Detail}
-		}
-		le.conn, le.id = co, msg.Upstream
-		le.held.Add(1)
-	}
-	if le.id != msg.Upstream {
-		return resultsMessage{Refusal: uint32(codes.InvariantBroken), Detail: "link holds " + le.id}
-	}
-	results, err := le.conn.Run(toBatch(msg), as.Deadline)
-	var ref *codes.Refusal
-	if errors.As(err, &ref) {
-		le.settle(msg, le.conn.state)
-		return resultsMessage{Refusal: uint32(ref.Code), Detail: ref.Detail}
-	}
-	if err != nil {
-		le.end()
-		return resultsMessage{
-			Broken: err.Error(), NotSent: errors.Is(err, ErrNotSent), TimedOut: errors.Is(err, os.ErrDeadlineExceeded),
-		}
-	}
-	le.settle(msg, results[len(results)-1].State)
-	return resultsMessage{Results: toMessages(results)}
-}
-
-// settle keeps or returns the connection after a batch.
-func (le *lease) settle(msg batchMessage, state stmt.State) {
-	switch {
-	case state == stmt.Idle:
-		le.conn.pool.Release(le.conn)
-		le.conn = nil
-		le.held.Add(-1)
-	case !msg.Keep:
-		le.end()
-	}
-}
-
-func toBatch(msg batchMessage) Batch {
-	ba := Batch{
-		Vars:    vars.FromValues(msg.Values),
-		Plan:    vars.Plan{Writes: msg.PlanWrites, Shape: msg.PlanShape},
-		AnyVars: msg.AnyVars,
-		Keep:    msg.Keep,
-	}
-	for _, sm := range msg.Statements {
-		ba.Statements = append(ba.Statements, stmt.Statement{
-			RequestID: sm.RequestID, Kind: stmt.Kind(sm.Kind), Text: sm.Text, Name: sm.Name, Argument: sm.Argument,
-			Writes: sm.Writes, Floor: posn.Position{Term: posn.Term{Number: sm.FloorTerm}, Offset: sm.FloorOffset},
-		})
-	}
-	return ba
-}
