Keep the word of the configuration fresh for all

The first member's watch waits 27% of the bound; what it confirms is as old as its question and stands until the next one ends, so that it is up to 54% of the bound and two exchanges (0.7 s) old when it reaches the last member, and 60% count as fresh. Change: watches wait 22%, 70% count as fresh; the rest is some hundred times what the store takes. The pattern word_that_is_never_fresh: TestWordOfTheFirstReachesAllWhileItIsFresh failed before.

--- a/io/member/member.go
+++ b/io/member/member.go
@@ -153,10 +153,13 @@
 	// confirmed counts as fresh. The first member keeps it fresh for all; the
 	// others ask the store themselves if word of it does not come, and have the
 	// rest of the bound for that.
-	freshShare = 60
+	freshShare = 70
 	// confirmShare is the part of the bound on configuration, in hundredths, for
 	// which the first member's watches wait, so that a deaf one is noticed soon.
-	confirmShare = 27
+	// What a watch confirms is as old as its question, and stands until the next
+	// one ends: two waits and two exchanges, of which one may be between regions,
+	// must fit into what counts as fresh.
+	confirmShare = 22
 	// freshTick is the time between two looks at that.
 	freshTick = 200 * time.Millisecond
 	// startWait is how long a member that knows another waits at its start for
--- a/io/member/member_test.go
+++ b/io/member/member_test.go
@@ -175,3 +175,12 @@
 	require.Equal(t, retryPause, fo.pauseAfter(ErrHistoryGone{}))
 	require.Equal(t, storePoll, fo.pauseAfter(errors.New("no answer")))
 }
+
+// The pattern word_that_is_never_fresh: members whose source hears from the first of
+// all asked the store themselves, since its word was too old when it reached them.
+func TestWordOfTheFirstReachesAllWhileItIsFresh(t *testing.T) {
+	for _, bound := range []time.Duration{3 * time.Second, 5 * time.Second} {
+		oldest := 2*bound*confirmShare/100 + exchangeAcross + exchangeEvery
+		require.Less(t, oldest, bound*freshShare/100)
+	}
+}
