Send no batches to a home that turns them away

Change: an instance that turns a batch away gets none for a second. The pattern leaving_home_draws_all_batches: TestLeavingHomeGetsNoMoreBatches failed before.

--- a/io/pool/pool_test.go
+++ b/io/pool/pool_test.go
@@ -28,6 +28,8 @@
 	now    time.Time
 	// answer holds the greeting of upstreams back if it is not nil.
 	answer chan struct{}
+	// leaving holds the addresses of homes that turn batches away.
+	leaving map[string]bool
 	// isFull has upstreams greet with a refusal.
 	isFull atomic.Bool
 }
@@ -73,6 +75,10 @@
 	}
 	near, far := net.Pipe()
 	fn.t.Cleanup(func() { _, _ = near.Close(), far.Close() })
+	if fn.leaving[address] {
+		go NewServer(fn.clock, func(string) *Pool { return nil }).Serve(far)
+		return near, nil
+	}
 	go func() { _, _ = bufio.NewReader(far).WriteTo(discard{}) }()
 	return near, nil
 }
@@ -275,3 +281,28 @@
 	_, err := fn.acquire(po)
 	require.True(t, codes.Is(err, codes.ConnectionsInUse), "%v", err)
 }
+
+// The pattern leaving_home_draws_all_batches: it turns them away at once and has the
+// fewest under way.
+func TestLeavingHomeGetsNoMoreBatches(t *testing.T) {
+	sh := share.Share{Holders: 2, Homes: []string{"home-1", "home-2"}}
+	fn := &fakeNet{t: t, cutOff: map[string]bool{}, leaving: map[string]bool{"home-1": true}}
+	po := fn.newPool(sh)
+	turnedAway, err := fn.acquire(po)
+	require.NoError(t, err)
+	require.Equal(t, "home-1", turnedAway.relay.address)
+	_, err = turnedAway.Run(Batch{Statements: []stmt.Statement{{Kind: stmt.Read}}}, fn.clock().Add(time.Minute))
+	require.True(t, codes.Is(err, codes.NotHome), "%v", err)
+	po.Release(turnedAway)
+	for range 5 {
+		co, err := fn.acquire(po)
+		require.NoError(t, err)
+		require.Equal(t, "home-2", co.relay.address)
+	}
+	// It is tried again after a while.
+	require.Eventually(t, func() bool {
+		fn.pass(retryNotHome)
+		co, err := fn.acquire(po)
+		return err == nil && co.relay.address == "home-1"
+	}, time.Minute, time.Millisecond)
+}
--- a/io/pool/relay.go
+++ b/io/pool/relay.go
@@ -34,6 +34,9 @@
 	// retryHome is the time between two tries to connect to a home that failed,
 	// of the order of a restart's shortest time.
 	retryHome = 250 * time.Millisecond
+	// retryNotHome is how long an instance that is no home gets no batch. It leaves
+	// within some seconds, or will know that it is one.
+	retryNotHome = time.Second
 	// relayDial bounds the connecting to a home.
 	relayDial = 300 * time.Millisecond
 	// idleLinks bounds the unused links kept to one home.
@@ -140,6 +143,14 @@
 	delete(rs.idle, address)
 }
 
+// turnedAway notes that an instance is no home, or is leaving. It answers at once, so
+// that it would seem to be the least loaded one.
+func (rs *Relays) turnedAway(address string) {
+	rs.mu.Lock()
+	defer rs.mu.Unlock()
+	rs.retryAt[address] = rs.now().Add(retryNotHome)
+}
+
 // give returns a link that holds nothing at its home.
 func (rs *Relays) give(re *relay) {
 	rs.mu.Lock()
@@ -205,6 +216,9 @@
 		return nil, errors.Mark(err, ErrHome)
 	}
 	switch {
+	case codes.Code(answer.Refusal) == codes.NotHome:
+		re.rs.turnedAway(re.address)
+		return nil, codes.Refuse(codes.NotHome, "%s", answer.Detail)
 	case answer.Refusal != 0:
 		return nil, codes.Refuse(codes.Code(answer.Refusal), "%s", answer.Detail)
 	case answer.NotSent:
