--- a/spec/handover.pml
+++ b/spec/handover.pml
@@ -34,7 +34,6 @@
 byte acked = 0;                  /* entries acknowledged */
 byte fence = 0;                  /* the highest token seen by the platform */
 byte drawn = 0;                  /* the highest token drawn */
-byte restarts = 0;
 bool lateResume[UPSTREAMS];      /* an order to receive that is still under way */
 
 /* calls under way; token 0 is a free place */
