Accept a leader that comes back under a new ID in its term

Cause: a primary that crashed is listed again under a new ID, with its log and its term. Ruled out: the freeze itself; the report of the frozen upstream said primary. Change: while the held leader is not listed, another upstream may be confirmed in its term, after the wait for leases; a change ends if another upstream leads.

--- a/core/lease/lease.go
+++ b/core/lease/lease.go
@@ -33,7 +33,7 @@
 // Evidence is a confirmation that an upstream leads its group. The zero value confirms
 // nothing.
 type Evidence struct {
-	// Leader is the only upstream that was ever appointed for Term.
+	// Leader is the only upstream that was appointed for Term, or that took over its log.
 	Leader string
 	// Term is zero if no leader is known.
 	Term uint64
@@ -84,8 +84,8 @@
 }
 
 // Judge returns what the reports of a group's members show, and false if they confirm no
-// leader. The leader of a term never changes, so that for the term of the held evidence
-// the leader need not be among the reports.
+// leader. The leader of a term does not change while it is listed, so that for the term
+// of the held evidence the leader need not be among the reports.
 func Judge(held Evidence, members int, reports []Report) (Finding, bool) {
 	found := Finding{Evidence: Evidence{Term: held.Term, Leader: held.Leader}}
 	for _, re := range reports {
@@ -131,12 +131,15 @@
 	// isRefuted is true once the held leader has refused a statement because it does
 	// not lead. It will not lead the same term again.
 	isRefuted bool
+	// isGone is true while the held leader is not listed. It may come back as it was, or
+	// another upstream may have taken over its log and lead the same term.
+	isGone bool
 }
 
 // Held returns the newest evidence, whose lease may have ended; without a leader if there
-// is none or if it was refuted.
+// is none, if it was refuted or if it is not listed.
 func (tr *Track) Held() Evidence {
-	if tr.isRefuted {
+	if tr.isRefuted || tr.isGone {
 		return Evidence{Term: tr.held.Term, WritesFrom: tr.held.WritesFrom}
 	}
 	return tr.held
@@ -166,7 +169,11 @@
 	switch {
 	case ev.Term < tr.held.Term || ev.Term == 0:
 	case ev.Term > tr.held.Term:
-		tr.held, tr.isRefuted = ev, false
+		tr.held, tr.isRefuted, tr.isGone = ev, false, false
+	case ev.Leader != tr.held.Leader:
+		if tr.isGone {
+			tr.held, tr.isRefuted, tr.isGone = ev, false, false
+		}
 	default:
 		if ev.ConfirmedAt.After(tr.held.ConfirmedAt) {
 			tr.held.ConfirmedAt = ev.ConfirmedAt
@@ -177,6 +184,11 @@
 	}
 }
 
+// SetListed records whether the held leader is listed.
+func (tr *Track) SetListed(isListed func(id string) bool) {
+	tr.isGone = tr.held.Term > 0 && !isListed(tr.held.Leader)
+}
+
 // Refute records that the upstream refused a statement because it does not lead, and
 // reports whether it was the held leader.
 func (tr *Track) Refute(id string) bool {
--- a/core/lease/lease_test.go
+++ b/core/lease/lease_test.go
@@ -114,6 +114,29 @@
 	require.Equal(t, at(900), tr.Held().WritesFrom)
 }
 
+// A leader that crashed may be listed again under a new ID, with its log and its term.
+func TestLeaderThatIsNoLongerListedMayBeReplacedInItsTerm(t *testing.T) {
+	tr := &lease.Track{}
+	tr.Adopt(lease.Evidence{Leader: "a", Term: 4, ConfirmedAt: at(0)})
+	again := lease.Finding{Evidence: lease.Evidence{Leader: "d", Term: 4, ConfirmedAt: at(100)}}
+	tr.Observe(again, at(100))
+	require.Equal(t, "a", tr.Held().Leader, "a is listed")
+	tr.SetListed(func(id string) bool { return id != "a" })
+	require.Empty(t, tr.Held().Leader)
+	tr.Observe(again, at(110))
+	require.True(t, tr.Held().AllowsReads("d", at(110)))
+	require.False(t, tr.Held().AllowsWrites("d", at(110)))
+}
+
+// A listing may lack the leader for a while, such as during an outage of the store.
+func TestLeaderThatIsListedAgainNeedsNoWait(t *testing.T) {
+	tr := &lease.Track{}
+	tr.Adopt(lease.Evidence{Leader: "a", Term: 4, ConfirmedAt: at(0)})
+	tr.SetListed(func(string) bool { return false })
+	tr.SetListed(func(string) bool { return true })
+	require.True(t, tr.Held().AllowsWrites("a", at(10)))
+}
+
 func TestEvidenceNeverGoesBack(t *testing.T) {
 	tr := &lease.Track{}
 	tr.Adopt(lease.Evidence{Leader: "b", Term: 5, ConfirmedAt: at(100), WritesFrom: at(200)})
--- a/io/engine/group.go
+++ b/io/engine/group.go
@@ -89,6 +89,9 @@
 		claims[up.id()] = cl
 	}
 	gr.claims = claims
+	if gr.leases != nil {
+		gr.leases.SetListed(func(id string) bool { return gr.memberByID(id) != nil })
+	}
 	old := gr.leader
 	gr.leader = gr.likelyLeader()
 	if old != gr.leader {
--- a/io/member/leased_change.go
+++ b/io/member/leased_change.go
@@ -16,6 +16,7 @@
 
 var (
 	errTokenUnvetted = errors.New("the token was drawn before the group's present term was known")
+	errOtherLeads    = errors.New("another upstream than the one to be replaced leads")
 	errUnfrozen      = errors.New("a replica was restarted or unfrozen during the change")
 	errTooLate       = errors.New("the change took so long that another member may have taken it over")
 	errOtherChange   = errors.New("the candidate of an unanswered appointment is behind a frozen replica")
@@ -116,6 +117,11 @@
 		mo.me.vetting.recordForeign(mo.name)
 		return errForeignFreeze
 	}
+	for _, res := range statuses {
+		if res.err == nil && res.report.ClaimsLead && res.report.Term == term {
+			return errOtherLeads
+		}
+	}
 	if !mo.me.vetting.allows(mo.name, term, token) {
 		mo.me.vetting.learn(mo.name, term)
 		return errTokenUnvetted
