Send members and configurations as changes, and pass over members without a token

The list of members went out at each heartbeat of an upstream, because the store's revision grows with it. Ruled out: longer timeouts of exchanges, which delay the detection of failures. Change: a configuration travels as a compressed patch from the version that the asker has, by a request of its own if larger than 4 KB; members as changes since a revision, with removals kept. A member says whether it has a token, and is passed over if not.

--- a/core/catlg/catlg.go
+++ b/core/catlg/catlg.go
@@ -87,28 +87,6 @@
 	return ca
 }
 
-// Document is the encoding of a catalog between instances.
-type Document struct {
-	Version         uint64        `json:"version"`
-	TransactionIdle time.Duration `json:"transaction_idle"`
-	Targets         []Target      `json:"targets"`
-	Groups          []Group       `json:"groups"`
-}
-
-// Document returns the encoding of the catalog for another instance.
-func (ca *Catalog) Document() Document {
-	doc := Document{Version: ca.Version, TransactionIdle: ca.TransactionIdle, Groups: ca.Groups()}
-	for _, ta := range ca.targets {
-		doc.Targets = append(doc.Targets, ta)
-	}
-	return doc
-}
-
-// FromDocument returns the catalog that another instance encoded.
-func FromDocument(doc Document) *Catalog {
-	return New(doc.Version, doc.TransactionIdle, doc.Targets, doc.Groups)
-}
-
 // GetTargetByDatabase finds the target of a database.
 func (ca *Catalog) GetTargetByDatabase(name string) (Target, bool) {
 	ta, ok := ca.targets[name]
--- /dev/null
+++ b/io/member/feed.go
@@ -0,0 +1,163 @@
+package member
+
+import (
+	"bytes"
+	"compress/gzip"
+	"context"
+	"encoding/json"
+	"io"
+	"net/http"
+	"strconv"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"banyanspring/core/catlg"
+)
+
+const (
+	catalogPath = "/v1/catalog"
+	// maxInlinePatchBytes is the size up to which an encoded patch is part of the reply
+	// to an exchange. Larger ones are requested separately: an exchange must be answered
+	// within exchangeTimeout, or its source counts as unreachable.
+	maxInlinePatchBytes = 4 << 10
+	// fetchTimeout bounds the request for a larger patch.
+	fetchTimeout = 3 * time.Second
+	// keptCatalogs is how many former versions are kept to make patches from.
+	keptCatalogs = 3
+)
+
+// catalogFeed encodes the configuration for the members that exchange with this one, as
+// compressed patches from the version that they have. It is safe for concurrent use.
+type catalogFeed struct {
+	mu sync.Mutex
+	// former holds the versions before the current one, the newest last.
+	former []*catlg.Catalog
+	// current is the version that encoded, by the version to patch from, was made for.
+	current uint64
+	encoded map[uint64][]byte
+	// isFetching is true while this member requests a patch.
+	isFetching atomic.Bool
+}
+
+// remember keeps a version that was replaced.
+func (cf *catalogFeed) remember(old *catlg.Catalog) {
+	cf.mu.Lock()
+	defer cf.mu.Unlock()
+	cf.former = append(cf.former, old)
+	if excess := len(cf.former) - keptCatalogs; excess > 0 {
+		cf.former = append(cf.former[:0], cf.former[excess:]...)
+	}
+}
+
+// patch returns the encoded patch to the catalog from the given version, or the whole
+// configuration if that version is not kept.
+func (cf *catalogFeed) patch(ca *catlg.Catalog, from uint64) ([]byte, error) {
+	cf.mu.Lock()
+	defer cf.mu.Unlock()
+	if cf.current != ca.Version {
+		cf.current, cf.encoded = ca.Version, make(map[uint64][]byte)
+	}
+	var old *catlg.Catalog
+	for _, kept := range cf.former {
+		if kept.Version == from {
+			old = kept
+		}
+	}
+	if old == nil {
+		from = 0
+	}
+	if raw, ok := cf.encoded[from]; ok {
+		return raw, nil
+	}
+	raw, err := encodePatch(ca.PatchFrom(old))
+	if err == nil {
+		cf.encoded[from] = raw
+	}
+	return raw, err
+}
+
+func encodePatch(pa catlg.Patch) ([]byte, error) {
+	var buf bytes.Buffer
+	zip := gzip.NewWriter(&buf)
+	if err := json.NewEncoder(zip).Encode(pa); err != nil {
+		return nil, err
+	}
+	if err := zip.Close(); err != nil {
+		return nil, err
+	}
+	return buf.Bytes(), nil
+}
+
+func decodePatch(raw []byte) (catlg.Patch, error) {
+	var pa catlg.Patch
+	zip, err := gzip.NewReader(bytes.NewReader(raw))
+	if err != nil {
+		return pa, errors.Wrap(err, "patch of the configuration")
+	}
+	return pa, json.NewDecoder(io.LimitReader(zip, maxExchangeBytes)).Decode(&pa)
+}
+
+// serveCatalog answers a request for a patch from the version in the query.
+func (ps *peers) serveCatalog(rw http.ResponseWriter, rq *http.Request) {
+	from, err := strconv.ParseUint(rq.URL.Query().Get("have"), 10, 64)
+	if err != nil {
+		http.Error(rw, err.Error(), http.StatusBadRequest)
+		return
+	}
+	raw, err := ps.me.feed.patch(ps.me.catalog.Current(), from)
+	if err != nil {
+		http.Error(rw, err.Error(), http.StatusInternalServerError)
+		return
+	}
+	_, _ = rw.Write(raw)
+}
+
+// fetchCatalog requests the configuration from a member in the background, unless a
+// request is running.
+func (ps *peers) fetchCatalog(ctx context.Context, address string) {
+	if !ps.me.feed.isFetching.CompareAndSwap(false, true) {
+		return
+	}
+	go func() {
+		defer ps.me.feed.isFetching.Store(false)
+		ctx, cancel := context.WithTimeout(ctx, fetchTimeout)
+		defer cancel()
+		have := ps.me.catalog.Current().Version
+		url := "http://" + address + catalogPath + "?have=" + strconv.FormatUint(have, 10)
+		if raw, err := ps.get(ctx, url); err == nil {
+			ps.me.applyPatch(raw)
+		}
+	}()
+}
+
+func (ps *peers) get(ctx context.Context, url string) ([]byte, error) {
+	rq, err := http.NewRequestWithContext(ctx, http.MethodGet, url, nil)
+	if err != nil {
+		return nil, err
+	}
+	rs, err := ps.http.Do(rq)
+	if err != nil {
+		return nil, err
+	}
+	defer func() { _ = rs.Body.Close() }()
+	if rs.StatusCode != http.StatusOK {
+		return nil, errors.Newf("peer answered with HTTP status %d", rs.StatusCode)
+	}
+	return io.ReadAll(io.LimitReader(rs.Body, maxExchangeBytes))
+}
+
+// applyPatch activates the configuration that an encoded patch gives. A patch that
+// cannot be used is requested again with the next exchange.
+func (me *Member) applyPatch(raw []byte) {
+	pa, err := decodePatch(raw)
+	if err != nil {
+		me.log.Warn("patch of the configuration", "error", err.Error())
+		return
+	}
+	if ca, ok := me.catalog.Current().WithPatch(pa); ok {
+		me.adoptCatalog(ca)
+	}
+}
--- a/io/member/member.go
+++ b/io/member/member.go
@@ -89,6 +89,7 @@
 	vetting  *vetting
 	pacer    *storePacer
 	shares   shares
+	feed     catalogFeed
 
 	kernel   *kernl.Kernel[*Member]
 	listener net.Listener
--- a/io/member/member_test.go
+++ b/io/member/member_test.go
@@ -84,7 +84,7 @@
 	require.Empty(t, tm.roster.silentMembers(tm.now))
 	for range 30 {
 		tm.now = tm.now.Add(maxSilence / 5)
-		tm.roster.recordContact("first", tm.now)
+		tm.roster.recordContact("first", true, tm.now)
 		require.Empty(t, tm.roster.silentMembers(tm.now))
 	}
 	tm.list("there", "second", "third")
--- a/io/member/peer.go
+++ b/io/member/peer.go
@@ -12,7 +12,6 @@
 
 	"github.com/cockroachdb/errors"
 
-	"banyanspring/core/catlg"
 	"banyanspring/core/evid"
 	"banyanspring/core/group"
 	"banyanspring/core/lease"
@@ -69,7 +68,9 @@
 
 // exchangeQuery holds a member's opinions and the versions of the data that it has.
 type exchangeQuery struct {
-	From     string        `json:"from"`
+	From string `json:"from"`
+	// NoToken is as in exchangeReply.
+	NoToken  bool          `json:"no_token,omitempty"`
 	Catalog  uint64        `json:"catalog"`
 	Listing  uint64        `json:"listing"`
 	Members  uint64        `json:"members"`
@@ -79,21 +80,23 @@
 // exchangeReply holds the data of the source that the asking member lacks.
 type exchangeReply struct {
 	// Leaving is true if the source is shutting down and so cannot be the
-	// coordinator.
+	// coordinator. NoToken is true if it cannot because it has no token yet.
 	Leaving bool `json:"leaving,omitempty"`
-	// Catalog is nil if the asking member's is as new.
-	Catalog *catlg.Document `json:"catalog,omitempty"`
+	NoToken bool `json:"no_token,omitempty"`
+	// CatalogVersion is zero if the asking member's is as new. CatalogPatch holds the
+	// encoded patch to it if that is small.
+	CatalogVersion uint64 `json:"catalog,omitempty"`
+	CatalogPatch   []byte `json:"catalog_patch,omitempty"`
 	// CatalogMs and ListingMs are how long ago the store last confirmed them; zero
 	// if never.
 	CatalogMs int64 `json:"catalog_ms,omitempty"`
 	ListingMs int64 `json:"listing_ms,omitempty"`
 	// Listing is nil if the asking member's is as new.
 	Listing *listingSnapshot `json:"listing,omitempty"`
-	// Members is the list of members at revision MembersAt; nil if the asking
-	// member's is as new.
-	Members   []Object `json:"members,omitempty"`
-	MembersAt uint64   `json:"members_at,omitempty"`
-	MembersMs int64    `json:"members_ms,omitempty"`
+	// Members holds the changes of the list of members; nil if the asking member's is
+	// as new.
+	Members   *memberChanges `json:"members,omitempty"`
+	MembersMs int64          `json:"members_ms,omitempty"`
 	// Evidence is the newest evidence on each group's leader.
 	Evidence []wireOpinion `json:"evidence"`
 }
@@ -118,7 +121,7 @@
 		DialContext: func(ctx context.Context, _, address string) (net.Conn, error) {
 			return me.deps.Dial(ctx, address)
 		},
-		MaxIdleConnsPerHost: 1,
+		MaxIdleConnsPerHost: 2,
 		DisableCompression:  true,
 	}
 	return &peers{me: me, http: &http.Client{Transport: transport}}
@@ -128,6 +131,7 @@
 func (ps *peers) serve() error {
 	mux := http.NewServeMux()
 	mux.HandleFunc("POST "+exchangePath, ps.handle)
+	mux.HandleFunc("GET "+catalogPath, ps.serveCatalog)
 	ps.me.serveMetrics(mux)
 	ln, err := net.Listen("tcp", ps.me.settings.PeerAddress)
 	if err != nil {
@@ -144,7 +148,7 @@
 		return
 	}
 	now := ps.me.deps.Now()
-	ps.me.roster.recordContact(qu.From, now)
+	ps.me.roster.recordContact(qu.From, !qu.NoToken, now)
 	// The query may have been delayed on the way, so the true ages may be higher than
 	// those computed here. Samples need an upper bound of their age and are not used.
 	for pos := range qu.Opinions {
@@ -159,15 +163,18 @@
 func (me *Member) makeReply(qu exchangeQuery, now time.Time) exchangeReply {
 	re := exchangeReply{
 		Leaving:   me.life.State() == life.Leaving,
+		NoToken:   !me.roster.hasToken(),
 		CatalogMs: ageMs(me.catalogAt.load(), now),
 		ListingMs: ageMs(me.listingAt.load(), now),
 		Evidence:  me.evidence(now),
 	}
-	re.Members, re.MembersAt = me.roster.objects(qu.Members)
+	re.Members = me.roster.changesSince(qu.Members)
 	re.MembersMs = ageMs(me.roster.confirmedAt.load(), now)
 	if ca := me.catalog.Current(); ca.Version > qu.Catalog {
-		doc := ca.Document()
-		re.Catalog = &doc
+		re.CatalogVersion = ca.Version
+		if raw, err := me.feed.patch(ca, qu.Catalog); err == nil && len(raw) <= maxInlinePatchBytes {
+			re.CatalogPatch = raw
+		}
 	}
 	vi := me.listing()
 	if vi.ContentRevision > qu.Listing {
@@ -244,12 +251,12 @@
 	me := ps.me
 	asked := me.deps.Now()
 	qu := exchangeQuery{
-		From: me.settings.Name, Catalog: me.catalog.Current().Version, Listing: me.listing().ContentRevision, Members: me.roster.knownRevision(),
+		From: me.settings.Name, NoToken: !me.roster.hasToken(), Catalog: me.catalog.Current().Version, Listing: me.listing().ContentRevision, Members: me.roster.knownRevision(),
 		Opinions: me.opinionsToSend(asked),
 	}
 	var re exchangeReply
 	err := ps.post(ctx, "http://"+source.Address+exchangePath, qu, &re)
-	me.roster.recordExchange(source, err, me.deps.Now())
+	me.roster.recordExchange(source, !re.NoToken, err, me.deps.Now())
 	if err != nil {
 		return false
 	}
@@ -258,6 +265,9 @@
 		return true
 	}
 	me.applyReply(re, asked)
+	if re.CatalogVersion > me.catalog.Current().Version {
+		ps.fetchCatalog(context.WithoutCancel(ctx), source.Address)
+	}
 	return true
 }
 
@@ -284,8 +294,8 @@
 // applyReply applies a source's reply. Ages are counted from the time of the query,
 // which is before the source computed them, so that no age is underestimated.
 func (me *Member) applyReply(re exchangeReply, asked time.Time) {
-	if re.Catalog != nil {
-		me.adoptCatalog(catlg.FromDocument(*re.Catalog))
+	if re.CatalogPatch != nil {
+		me.applyPatch(re.CatalogPatch)
 	}
 	if re.CatalogMs > 0 {
 		me.catalogAt.advance(asked.Add(-millis(re.CatalogMs)))
@@ -301,7 +311,7 @@
 		me.hasListing.Store(true)
 	}
 	if re.Members != nil {
-		me.roster.replace(re.Members, re.MembersAt)
+		me.roster.apply(*re.Members)
 	}
 	me.checkReady()
 	if re.MembersMs > 0 {
--- a/io/member/roster.go
+++ b/io/member/roster.go
@@ -80,6 +80,9 @@
 	shared []share.Member
 	// listRevision is the revision of the list of members.
 	listRevision uint64
+	// removals holds the members that were removed after historySince, the oldest first.
+	removals     []removal
+	historySince uint64
 	// revision is that of this member's own object; 0 if the object does not exist.
 	revision uint64
 	// isWritten is true once the own object in the store holds self.
@@ -225,6 +228,9 @@
 	if revision < ro.listRevision {
 		return
 	}
+	if ro.listRevision == 0 {
+		ro.historySince = revision
+	}
 	ro.listRevision = revision
 	listed := make(map[string]bool, len(objs))
 	for _, obj := range objs {
@@ -234,7 +240,7 @@
 	for name, kn := range ro.members {
 		// A member with a higher token was written after the list was read.
 		if !listed[name] && kn.token <= revision {
-			ro.remove(name)
+			ro.removeAt(name, revision)
 		}
 	}
 	ro.membersChanged()
@@ -250,7 +256,7 @@
 	defer ro.mu.Unlock()
 	for _, ev := range events {
 		if ev.IsRemoved {
-			ro.remove(ev.Object.Name)
+			ro.removeAt(ev.Object.Name, revision)
 			continue
 		}
 		ro.put(ev.Object)
@@ -262,25 +268,6 @@
 	return revision, nil
 }
 
-// objects returns the list of members for another member if it is newer than the
-// given revision.
-func (ro *roster) objects(since uint64) ([]Object, uint64) {
-	ro.mu.Lock()
-	defer ro.mu.Unlock()
-	if ro.listRevision <= since {
-		return nil, ro.listRevision
-	}
-	out := make([]Object, 0, len(ro.members))
-	for name, kn := range ro.members {
-		raw, err := json.Marshal(kn.entry)
-		if err != nil {
-			continue
-		}
-		out = append(out, Object{Name: name, Revision: kn.token, Value: raw})
-	}
-	return out, ro.listRevision
-}
-
 // hasList reports whether a list of members has been received.
 func (ro *roster) hasList() bool { return ro.knownRevision() > 0 }
 
@@ -419,6 +406,12 @@
 	return ro.token()
 }
 
+// hasToken reports whether this member has a token.
+func (ro *roster) hasToken() bool {
+	_, ok := ro.Token()
+	return ok
+}
+
 // Token returns this member's token, and false if it has none.
 func (ro *roster) Token() (uint64, bool) {
 	ro.mu.Lock()
@@ -475,12 +468,18 @@
 	ro.wakeWriter()
 }
 
-// recordContact records that a member was heard from.
-func (ro *roster) recordContact(name string, now time.Time) {
+// recordContact records that a member was heard from. One that has no token stays or is
+// excluded, so that the next in rank becomes the coordinator.
+func (ro *roster) recordContact(name string, hasToken bool, now time.Time) {
 	ro.mu.Lock()
 	defer ro.mu.Unlock()
 	if kn := ro.members[name]; kn != nil {
-		kn.heardAt, kn.failures = now, 0
+		kn.heardAt = now
+		if hasToken {
+			kn.failures = 0
+		} else {
+			ro.exclude(name)
+		}
 		ro.domainHeardAt[kn.entry.Domain] = now
 	}
 }
@@ -490,13 +489,23 @@
 func (ro *roster) markLeaving(name string) {
 	ro.mu.Lock()
 	defer ro.mu.Unlock()
-	if kn := ro.members[name]; kn != nil && kn.failures < unreachedAfter {
-		kn.failures = unreachedAfter
-		kn.retryAt = ro.me.deps.Now().Add(unreachedRetry)
+	if ro.exclude(name) {
 		event.Log(ro.me.log, event.PeerLeaving, "peer", name)
 	}
 }
 
+// exclude marks a member as unreachable until it is tried again, and reports whether it
+// was reachable; mu is held.
+func (ro *roster) exclude(name string) bool {
+	kn := ro.members[name]
+	if kn == nil || kn.failures >= unreachedAfter {
+		return false
+	}
+	kn.failures = unreachedAfter
+	kn.retryAt = ro.me.deps.Now().Add(unreachedRetry)
+	return true
+}
+
 const (
 	// unreachedAfter is how many exchanges in a row must fail before a member
 	// counts as unreachable; a single failure may be due to a dead connection.
@@ -505,10 +514,11 @@
 	unreachedRetry = time.Second
 )
 
-// recordExchange records how an exchange with a member ended.
-func (ro *roster) recordExchange(en entry, err error, now time.Time) {
+// recordExchange records how an exchange with a member ended and, if it was answered,
+// whether the member has a token.
+func (ro *roster) recordExchange(en entry, hasToken bool, err error, now time.Time) {
 	if err == nil {
-		ro.recordContact(en.Name, now)
+		ro.recordContact(en.Name, hasToken, now)
 		return
 	}
 	ro.mu.Lock()
@@ -595,7 +605,8 @@
 }
 
 // isCoordinator reports whether this member is the first in rank of the reachable
-// members, and so the coordinator.
+// members, and so the coordinator. A member that has started while the store is away has
+// no token, although its earlier object may still be listed.
 func (ro *roster) isCoordinator() bool {
 	ro.mu.Lock()
 	defer ro.mu.Unlock()
@@ -603,7 +614,7 @@
 		return false
 	}
 	ranked := ro.ranked()
-	return len(ranked) > 0 && ranked[0].entry.Name == ro.self.Name
+	return ro.token() != 0 && len(ranked) > 0 && ranked[0].entry.Name == ro.self.Name
 }
 
 // leave removes this member's object from the store.
--- a/io/member/watch.go
+++ b/io/member/watch.go
@@ -117,9 +117,11 @@
 
 // adoptCatalog activates a configuration unless it is older than the active one.
 func (me *Member) adoptCatalog(ca *catlg.Catalog) {
+	old := me.catalog.Current()
 	if !me.catalog.Offer(ca) {
 		return
 	}
+	me.feed.remember(old)
 	event.Log(me.log, event.DocumentAdopted, "catalog_version", ca.Version)
 	me.checkReady()
 }
