Start from a silent store in half a second, and refuse writes that must outwait their deadline

Cause: after the kill of all during a silence of the store, each instance's calls to it were made while it was silent and stayed unanswered for 2 s after it was back; the fleet served again 2.3 s later. Then no instance was coordinator for 4 s: each knew the others by the tokens of before, since an object written after the list was read was not passed on, and nobody was first in rank; all found their configuration stale at the same time and read it whole. Change: a member that cannot serve yet gives up a call without a first byte after 0.5 s; changes of the members include what was written since the list. Separately: a write whose deadline is before the end of the leases on the old leader is refused on arrival, and the refusal names the lease that is missing.

--- a/io/engine/lease.go
+++ b/io/engine/lease.go
@@ -1,6 +1,7 @@
 package engine
 
 import (
+	"fmt"
 	"sync"
 	"time"
 
@@ -159,3 +160,33 @@
 	}
 	return co, true
 }
+
+// writesFrom returns from when the leader may be written to; zero if that is not known or
+// at any time.
+func (gr *groupState) writesFrom() time.Time {
+	gr.mu.Lock()
+	defer gr.mu.Unlock()
+	if gr.leases == nil {
+		return time.Time{}
+	}
+	return gr.leases.Held().WritesFrom
+}
+
+// leaderObstacle returns why no leader can be used.
+func (gr *groupState) leaderObstacle(now time.Time) string {
+	gr.mu.Lock()
+	defer gr.mu.Unlock()
+	if gr.leases == nil || gr.leases.Term() == 0 {
+		return "no leader was found"
+	}
+	held := gr.leases.Held()
+	switch {
+	case held.Leader == "":
+		return fmt.Sprintf("the leader of term %d has stopped and no newer one was found", held.Term)
+	case !held.AllowsReads(held.Leader, now):
+		return fmt.Sprintf("leader %s of term %d was last confirmed %d ms ago", held.Leader, held.Term, now.Sub(held.ConfirmedAt).Milliseconds())
+	case now.Before(held.WritesFrom):
+		return fmt.Sprintf("leader %s of term %d may be written to in %d ms", held.Leader, held.Term, held.WritesFrom.Sub(now).Milliseconds())
+	}
+	return fmt.Sprintf("leader %s of term %d does not answer", held.Leader, held.Term)
+}
--- a/io/engine/single.go
+++ b/io/engine/single.go
@@ -85,7 +85,8 @@
 
 // awaitLeader returns the leader, for a read or for a transaction that may write. If
 // there is none that can be used, it probes the members and waits for one until the
-// deadline.
+// deadline. If it is known that none can be written to before the deadline, it refuses at
+// once.
 func (ex *execution) awaitLeader(mayWrite bool) (*upstream, *codes.Refusal) {
 	for {
 		now := ex.en.deps.Now()
@@ -94,8 +95,8 @@
 			return up, nil
 		}
 		left := ex.rq.deadline.Sub(now)
-		if left <= 0 {
-			return nil, ex.noUpstream("no leader was found")
+		if left <= 0 || (mayWrite && ex.gr.writesFrom().After(ex.rq.deadline)) {
+			return nil, ex.noUpstream(ex.gr.leaderObstacle(now))
 		}
 		ex.en.probeMembers(ex.gr)
 		timer := time.NewTimer(min(left, leaderPollInterval))
--- a/io/member/changes.go
+++ b/io/member/changes.go
@@ -41,11 +41,13 @@
 }
 
 // changesSince returns the changes of the list of members since the revision, or the
-// complete list if they are not known; nil if there are none.
+// complete list if they are not known; nil if there are none. They include an object that
+// this member has written since its list was read, such as its own: after a restart of all
+// members each must learn the others' new tokens, which decide who the coordinator is.
 func (ro *roster) changesSince(since uint64) *memberChanges {
 	ro.mu.Lock()
 	defer ro.mu.Unlock()
-	if ro.listRevision <= since {
+	if ro.listRevision == 0 {
 		return nil
 	}
 	ch := &memberChanges{At: ro.listRevision, IsWhole: since == 0 || since < ro.historySince}
@@ -66,6 +68,9 @@
 			ch.Removed = slices.Clone(ro.removals[first:])
 		}
 	}
+	if ro.listRevision <= since && len(ch.Objects) == 0 {
+		return nil
+	}
 	return ch
 }
 
--- a/io/member/roster.go
+++ b/io/member/roster.go
@@ -176,7 +176,7 @@
 	if !ro.me.pacer.allow() {
 		return errStorePaused
 	}
-	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	ctx, cancel := ro.me.pacer.callContext(ctx)
 	defer cancel()
 	began := ro.me.deps.Now()
 	var obj Object
@@ -209,7 +209,7 @@
 }
 
 func (ro *roster) read(ctx context.Context) (uint64, error) {
-	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	ctx, cancel := ro.me.pacer.callContext(ctx)
 	defer cancel()
 	objs, revision, err := ro.me.deps.Store.List(ctx, kindMember)
 	if err != nil {
--- a/io/member/watch.go
+++ b/io/member/watch.go
@@ -110,7 +110,7 @@
 }
 
 func (me *Member) loadCatalog(ctx context.Context) (*catlg.Catalog, uint64, error) {
-	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	ctx, cancel := me.pacer.callContext(ctx)
 	defer cancel()
 	return me.deps.Store.LoadCatalog(ctx)
 }
@@ -136,7 +136,7 @@
 }
 
 func (me *Member) readListing(ctx context.Context) (uint64, error) {
-	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	ctx, cancel := me.pacer.callContext(ctx)
 	defer cancel()
 	vi, skipped, err := me.deps.Store.ListUpstreams(ctx)
 	if err != nil {
