Ask the seeds first at a start, pass on the own newer object, and drop the short first call

Change: only the own newer object is passed on; the short call is taken back; a member that starts asks the seeds and waits 0.4 s for their state before it reads the store.

--- a/io/member/changes.go
+++ b/io/member/changes.go
@@ -41,9 +41,9 @@
 }
 
 // changesSince returns the changes of the list of members since the revision, or the
-// complete list if they are not known; nil if there are none. They include an object that
-// this member has written since its list was read, such as its own: after a restart of all
-// members each must learn the others' new tokens, which decide who the coordinator is.
+// complete list if they are not known; nil if there are none. They include the own object
+// if it was written since the list was read: after a restart of all members each must learn
+// the others' new tokens, which decide who the coordinator is.
 func (ro *roster) changesSince(since uint64) *memberChanges {
 	ro.mu.Lock()
 	defer ro.mu.Unlock()
@@ -52,7 +52,7 @@
 	}
 	ch := &memberChanges{At: ro.listRevision, IsWhole: since == 0 || since < ro.historySince}
 	for name, kn := range ro.members {
-		if !ch.IsWhole && kn.token <= since {
+		if !ch.IsWhole && !ro.isSentChange(kn, since) {
 			continue
 		}
 		raw, err := json.Marshal(kn.entry)
@@ -74,6 +74,14 @@
 	return ch
 }
 
+// isSentChange reports whether a member's object is a change since the revision; mu is
+// held. Objects newer than the list, except for the own one, are sent once the list
+// includes them: the asking member's revision does not advance before.
+func (ro *roster) isSentChange(kn *knownMember, since uint64) bool {
+	isOwn := kn.entry.Name == ro.self.Name
+	return kn.token > since && (isOwn || kn.token <= ro.listRevision)
+}
+
 // apply applies the changes that another member has sent.
 func (ro *roster) apply(ch memberChanges) {
 	if ch.IsWhole {
@@ -88,11 +96,12 @@
 			ro.removeAt(re.Name, re.At)
 		}
 	}
+	isChanged := len(ch.Removed) > 0
 	for _, obj := range ch.Objects {
-		ro.put(obj)
+		isChanged = ro.put(obj) || isChanged
 	}
 	ro.listRevision = max(ro.listRevision, ch.At)
-	if len(ch.Objects)+len(ch.Removed) > 0 {
+	if isChanged {
 		ro.membersChanged()
 	}
 }
--- a/io/member/peer.go
+++ b/io/member/peer.go
@@ -30,6 +30,9 @@
 	// leader has a problem: the link between regions has little capacity and is
 	// billed by volume.
 	crossRegionInterval = 450 * time.Millisecond
+	// seedInterval is the time between two rounds of exchanges with the seeds while this
+	// member cannot serve.
+	seedInterval = 100 * time.Millisecond
 	// exchangeTimeout bounds one exchange. The slowest round trip between regions
 	// is some 20 ms, and an exhausted CPU quota pauses a process for 100 ms.
 	exchangeTimeout = 250 * time.Millisecond
@@ -69,20 +72,20 @@
 // exchangeQuery holds a member's opinions and the versions of the data that it has.
 type exchangeQuery struct {
 	From string `json:"from"`
-	// NoToken is as in exchangeReply.
-	NoToken  bool          `json:"no_token,omitempty"`
-	Catalog  uint64        `json:"catalog"`
-	Listing  uint64        `json:"listing"`
-	Members  uint64        `json:"members"`
-	Opinions []wireOpinion `json:"opinions"`
+	// NotJoined is as in exchangeReply.
+	NotJoined bool          `json:"not_joined,omitempty"`
+	Catalog   uint64        `json:"catalog"`
+	Listing   uint64        `json:"listing"`
+	Members   uint64        `json:"members"`
+	Opinions  []wireOpinion `json:"opinions"`
 }
 
 // exchangeReply holds the data of the source that the asking member lacks.
 type exchangeReply struct {
 	// Leaving is true if the source is shutting down and so cannot be the
-	// coordinator. NoToken is true if it cannot because it has no token yet.
-	Leaving bool `json:"leaving,omitempty"`
-	NoToken bool `json:"no_token,omitempty"`
+	// coordinator. NotJoined is true if it cannot because it has not joined yet.
+	Leaving   bool `json:"leaving,omitempty"`
+	NotJoined bool `json:"not_joined,omitempty"`
 	// CatalogVersion is zero if the asking member's is as new. CatalogPatch holds the
 	// encoded patch to it if that is small.
 	CatalogVersion uint64 `json:"catalog,omitempty"`
@@ -148,7 +151,7 @@
 		return
 	}
 	now := ps.me.deps.Now()
-	ps.me.roster.recordContact(qu.From, !qu.NoToken, now)
+	ps.me.roster.recordContact(qu.From, !qu.NotJoined, now)
 	// The query may have been delayed on the way, so the true ages may be higher than
 	// those computed here. Samples need an upper bound of their age and are not used.
 	for pos := range qu.Opinions {
@@ -163,7 +166,7 @@
 func (me *Member) makeReply(qu exchangeQuery, now time.Time) exchangeReply {
 	re := exchangeReply{
 		Leaving:   me.life.State() == life.Leaving,
-		NoToken:   !me.roster.hasToken(),
+		NotJoined: !me.roster.isJoined(),
 		CatalogMs: ageMs(me.catalogAt.load(), now),
 		ListingMs: ageMs(me.listingAt.load(), now),
 		Evidence:  me.evidence(now),
@@ -185,7 +188,8 @@
 
 // run exchanges with the source periodically.
 func (ps *peers) run(ctx context.Context) {
-	pause := exchangeInterval
+	// The first exchange follows at once.
+	pause := time.Duration(0)
 	for delay.Pause(ctx, pause) {
 		pause = exchangeInterval
 		if en, ok := ps.me.roster.nextUnreached(ps.me.deps.Now()); ok {
@@ -195,6 +199,9 @@
 		switch {
 		case !ok:
 			ps.trySeeds(ctx)
+			if ps.me.life.State() == life.Starting {
+				pause = seedInterval
+			}
 		case !ps.exchange(ctx, source):
 			// If the network is partitioned, the other members ahead in rank may be
 			// unreachable as well. They are tried concurrently, so that a member that
@@ -224,10 +231,12 @@
 	}
 }
 
-// trySeeds asks the members named in the settings while no other member is known.
+// trySeeds asks the members named in the settings while no other member is known, until
+// one answers and this member has a configuration.
 func (ps *peers) trySeeds(ctx context.Context) {
 	for _, address := range ps.me.settings.Seeds {
-		if address != ps.me.settings.PeerAddress && ps.exchange(ctx, entry{Address: address}) {
+		isAnswered := address != ps.me.settings.PeerAddress && ps.exchange(ctx, entry{Address: address})
+		if isAnswered && ps.me.catalog.Current().Version > 0 {
 			return
 		}
 	}
@@ -251,12 +260,12 @@
 	me := ps.me
 	asked := me.deps.Now()
 	qu := exchangeQuery{
-		From: me.settings.Name, NoToken: !me.roster.hasToken(), Catalog: me.catalog.Current().Version, Listing: me.listing().ContentRevision, Members: me.roster.knownRevision(),
+		From: me.settings.Name, NotJoined: !me.roster.isJoined(), Catalog: me.catalog.Current().Version, Listing: me.listing().ContentRevision, Members: me.roster.knownRevision(),
 		Opinions: me.opinionsToSend(asked),
 	}
 	var re exchangeReply
 	err := ps.post(ctx, "http://"+source.Address+exchangePath, qu, &re)
-	me.roster.recordExchange(source, !re.NoToken, err, me.deps.Now())
+	me.roster.recordExchange(source, !re.NotJoined, err, me.deps.Now())
 	if err != nil {
 		return false
 	}
--- a/io/member/roster.go
+++ b/io/member/roster.go
@@ -87,6 +87,8 @@
 	revision uint64
 	// isWritten is true once the own object in the store holds self.
 	isWritten bool
+	// hasJoined is true once this process has written its object.
+	hasJoined bool
 	// drawnAt is when the write that gave the token began.
 	drawnAt time.Time
 	// lastToken is the token to use while a newer one is requested; zero if none may be
@@ -176,7 +178,7 @@
 	if !ro.me.pacer.allow() {
 		return errStorePaused
 	}
-	ctx, cancel := ro.me.pacer.callContext(ctx)
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
 	began := ro.me.deps.Now()
 	var obj Object
@@ -202,14 +204,14 @@
 	case err != nil:
 		return err
 	}
-	ro.isWritten = true
+	ro.isWritten, ro.hasJoined = true, true
 	ro.revision, ro.drawnAt, ro.lastToken = obj.Revision, began, 0
 	ro.put(obj)
 	return nil
 }
 
 func (ro *roster) read(ctx context.Context) (uint64, error) {
-	ctx, cancel := ro.me.pacer.callContext(ctx)
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
 	objs, revision, err := ro.me.deps.Store.List(ctx, kindMember)
 	if err != nil {
@@ -351,16 +353,17 @@
 	return err.Error()
 }
 
-// put adds or updates one member from its object; mu is held.
-func (ro *roster) put(obj Object) {
+// put adds or updates one member from its object, and reports whether that changed
+// anything; mu is held.
+func (ro *roster) put(obj Object) bool {
 	var en entry
 	if err := json.Unmarshal(obj.Value, &en); err != nil || en.Name != obj.Name {
 		event.Log(ro.me.log, event.EntrySkipped, "kind", kindMember, "name", obj.Name)
-		return
+		return false
 	}
 	if old := ro.members[obj.Name]; old != nil && old.token >= obj.Revision {
 		// Known already, or an event that was read before the newer version.
-		return
+		return false
 	}
 	ro.shared = nil
 	now := ro.me.deps.Now()
@@ -371,6 +374,7 @@
 		ro.isWritten, ro.revision, ro.lastToken = false, obj.Revision, 0
 		ro.wakeWriter()
 	}
+	return true
 }
 
 // remove removes a member from the roster; mu is held.
@@ -406,10 +410,12 @@
 	return ro.token()
 }
 
-// hasToken reports whether this member has a token.
-func (ro *roster) hasToken() bool {
-	_, ok := ro.Token()
-	return ok
+// isJoined reports whether this process has written its object and so has had a token.
+// While it requests a newer one it stays the coordinator.
+func (ro *roster) isJoined() bool {
+	ro.mu.Lock()
+	defer ro.mu.Unlock()
+	return ro.hasJoined
 }
 
 // Token returns this member's token, and false if it has none.
@@ -468,14 +474,14 @@
 	ro.wakeWriter()
 }
 
-// recordContact records that a member was heard from. One that has no token stays or is
+// recordContact records that a member was heard from. One that has not joined stays or is
 // excluded, so that the next in rank becomes the coordinator.
-func (ro *roster) recordContact(name string, hasToken bool, now time.Time) {
+func (ro *roster) recordContact(name string, hasJoined bool, now time.Time) {
 	ro.mu.Lock()
 	defer ro.mu.Unlock()
 	if kn := ro.members[name]; kn != nil {
 		kn.heardAt = now
-		if hasToken {
+		if hasJoined {
 			kn.failures = 0
 		} else {
 			ro.exclude(name)
@@ -515,10 +521,10 @@
 )
 
 // recordExchange records how an exchange with a member ended and, if it was answered,
-// whether the member has a token.
-func (ro *roster) recordExchange(en entry, hasToken bool, err error, now time.Time) {
+// whether the member has joined.
+func (ro *roster) recordExchange(en entry, hasJoined bool, err error, now time.Time) {
 	if err == nil {
-		ro.recordContact(en.Name, hasToken, now)
+		ro.recordContact(en.Name, hasJoined, now)
 		return
 	}
 	ro.mu.Lock()
@@ -606,7 +612,7 @@
 
 // isCoordinator reports whether this member is the first in rank of the reachable
 // members, and so the coordinator. A member that has started while the store is away has
-// no token, although its earlier object may still be listed.
+// not joined, although its earlier object may still be listed.
 func (ro *roster) isCoordinator() bool {
 	ro.mu.Lock()
 	defer ro.mu.Unlock()
@@ -614,7 +620,7 @@
 		return false
 	}
 	ranked := ro.ranked()
-	return ro.token() != 0 && len(ranked) > 0 && ranked[0].entry.Name == ro.self.Name
+	return ro.hasJoined && len(ranked) > 0 && ranked[0].entry.Name == ro.self.Name
 }
 
 // leave removes this member's object from the store.
--- a/io/member/watch.go
+++ b/io/member/watch.go
@@ -79,14 +79,18 @@
 
 // isFresh reports whether a member other than the coordinator need not read the store.
 // Before the first confirmation, a member that has a source waits for the source's
-// state, but at most startupSourceWait.
+// state, but at most startupSourceWait, and one that knows only seeds for theirs, but at
+// most startupSeedWait.
 func (sw *storeWatcher) isFresh(now time.Time) bool {
 	at := sw.confirmedAt.load()
 	if !at.IsZero() {
 		return now.Sub(at) < sw.freshFor
 	}
-	_, hasSource := sw.me.roster.source()
-	return hasSource && now.Sub(sw.me.startedAt) < startupSourceWait
+	wait := startupSourceWait
+	if _, hasSource := sw.me.roster.source(); !hasSource {
+		wait = sw.me.seedWait()
+	}
+	return now.Sub(sw.me.startedAt) < wait
 }
 
 // watchCatalog keeps the active configuration up to date.
@@ -110,7 +114,7 @@
 }
 
 func (me *Member) loadCatalog(ctx context.Context) (*catlg.Catalog, uint64, error) {
-	ctx, cancel := me.pacer.callContext(ctx)
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
 	return me.deps.Store.LoadCatalog(ctx)
 }
@@ -136,7 +140,7 @@
 }
 
 func (me *Member) readListing(ctx context.Context) (uint64, error) {
-	ctx, cancel := me.pacer.callContext(ctx)
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
 	vi, skipped, err := me.deps.Store.ListUpstreams(ctx)
 	if err != nil {
