--- a/io/member/member.go
+++ b/io/member/member.go
@@ -173,9 +173,6 @@
 	// startupSourceWait is how long a starting member that has a source waits for the
 	// source's state before it reads the store itself.
 	startupSourceWait = 700 * time.Millisecond
-	// startupSeedWait is the same for a member that knows only the seeds. A restart then
-	// costs the store no read, while a start of the whole fleet is hardly delayed.
-	startupSeedWait = 400 * time.Millisecond
 	// startupMembersWait is how long a member that has everything else waits for
 	// the list of members, about a hundred times the store's response time.
 	startupMembersWait = 500 * time.Millisecond
@@ -257,16 +254,6 @@
 	memberSampleAge = 900 * time.Millisecond
 )
 
-// seedWait returns how long this member waits for the seeds' state at its start.
-func (me *Member) seedWait() time.Duration {
-	for _, address := range me.settings.Seeds {
-		if address != me.settings.PeerAddress {
-			return startupSeedWait
-		}
-	}
-	return 0
-}
-
 // IsReady reports whether callers should be routed to this member.
 func (me *Member) IsReady() bool {
 	return me.life.State() == life.Serving
--- a/io/member/peer.go
+++ b/io/member/peer.go
@@ -30,9 +30,6 @@
 	// leader has a problem: the link between regions has little capacity and is
 	// billed by volume.
 	crossRegionInterval = 450 * time.Millisecond
-	// seedInterval is the time between two rounds of exchanges with the seeds while this
-	// member cannot serve.
-	seedInterval = 100 * time.Millisecond
 	// exchangeTimeout bounds one exchange. The slowest round trip between regions
 	// is some 20 ms, and an exhausted CPU quota pauses a process for 100 ms.
 	exchangeTimeout = 250 * time.Millisecond
@@ -188,8 +185,7 @@
 
 // run exchanges with the source periodically.
 func (ps *peers) run(ctx context.Context) {
-	// The first exchange follows at once.
-	pause := time.Duration(0)
+	pause := exchangeInterval
 	for delay.Pause(ctx, pause) {
 		pause = exchangeInterval
 		if en, ok := ps.me.roster.nextUnreached(ps.me.deps.Now()); ok {
@@ -199,9 +195,6 @@
 		switch {
 		case !ok:
 			ps.trySeeds(ctx)
-			if ps.me.life.State() == life.Starting {
-				pause = seedInterval
-			}
 		case !ps.exchange(ctx, source):
 			// If the network is partitioned, the other members ahead in rank may be
 			// unreachable as well. They are tried concurrently, so that a member that
@@ -231,12 +224,10 @@
 	}
 }
 
-// trySeeds asks the members named in the settings while no other member is known, until
-// one answers and this member has a configuration.
+// trySeeds asks the members named in the settings while no other member is known.
 func (ps *peers) trySeeds(ctx context.Context) {
 	for _, address := range ps.me.settings.Seeds {
-		isAnswered := address != ps.me.settings.PeerAddress && ps.exchange(ctx, entry{Address: address})
-		if isAnswered && ps.me.catalog.Current().Version > 0 {
+		if address != ps.me.settings.PeerAddress && ps.exchange(ctx, entry{Address: address}) {
 			return
 		}
 	}
--- a/io/member/watch.go
+++ b/io/member/watch.go
@@ -79,18 +79,14 @@
 
 // isFresh reports whether a member other than the coordinator need not read the store.
 // Before the first confirmation, a member that has a source waits for the source's
-// state, but at most startupSourceWait, and one that knows only seeds for theirs, but at
-// most startupSeedWait.
+// state, but at most startupSourceWait.
 func (sw *storeWatcher) isFresh(now time.Time) bool {
 	at := sw.confirmedAt.load()
 	if !at.IsZero() {
 		return now.Sub(at) < sw.freshFor
 	}
-	wait := startupSourceWait
-	if _, hasSource := sw.me.roster.source(); !hasSource {
-		wait = sw.me.seedWait()
-	}
-	return now.Sub(sw.me.startedAt) < wait
+	_, hasSource := sw.me.roster.source()
+	return hasSource && now.Sub(sw.me.startedAt) < startupSourceWait
 }
 
 // watchCatalog keeps the active configuration up to date.
