Take back passing on the own newer object

Reasoned, not traced: after a restart of all, each new token moves the asker to its next source, and each restarted source sends its whole list of members.

--- a/io/member/changes.go
+++ b/io/member/changes.go
@@ -41,18 +41,16 @@
 }
 
 // changesSince returns the changes of the list of members since the revision, or the
-// complete list if they are not known; nil if there are none. They include the own object
-// if it was written since the list was read: after a restart of all members each must learn
-// the others' new tokens, which decide who the coordinator is.
+// complete list if they are not known; nil if there are none.
 func (ro *roster) changesSince(since uint64) *memberChanges {
 	ro.mu.Lock()
 	defer ro.mu.Unlock()
-	if ro.listRevision == 0 {
+	if ro.listRevision <= since {
 		return nil
 	}
 	ch := &memberChanges{At: ro.listRevision, IsWhole: since == 0 || since < ro.historySince}
 	for name, kn := range ro.members {
-		if !ch.IsWhole && !ro.isSentChange(kn, since) {
+		if !ch.IsWhole && kn.token <= since {
 			continue
 		}
 		raw, err := json.Marshal(kn.entry)
@@ -68,20 +66,9 @@
 			ch.Removed = slices.Clone(ro.removals[first:])
 		}
 	}
-	if ro.listRevision <= since && len(ch.Objects) == 0 {
-		return nil
-	}
 	return ch
 }
 
-// isSentChange reports whether a member's object is a change since the revision; mu is
-// held. Objects newer than the list, except for the own one, are sent once the list
-// includes them: the asking member's revision does not advance before.
-func (ro *roster) isSentChange(kn *knownMember, since uint64) bool {
-	isOwn := kn.entry.Name == ro.self.Name
-	return kn.token > since && (isOwn || kn.token <= ro.listRevision)
-}
-
 // apply applies the changes that another member has sent.
 func (ro *roster) apply(ch memberChanges) {
 	if ch.IsWhole {
