Log where a configuration comes from, and failed or slow transfers of it

Callers of a new route were refused as an older version says, more than config-apply-ms after the acknowledgement. The logs could not tell apart transfers that never end, confirmations without the data, and changes that a watch does not report. Change: document_adopted names its origin, document_delayed (509) and document_read (510) are new, and there is a gauge of the configuration's age. No logic is changed.

--- a/core/event/event.go
+++ b/core/event/event.go
@@ -65,6 +65,8 @@
 	EntrySkipped     ID = 506
 	SettingsReread   ID = 507
 	UpstreamListed   ID = 508
+	DocumentDelayed  ID = 509
+	DocumentRead     ID = 510
 
 	InvariantFailed ID = 901
 )
@@ -128,7 +130,9 @@
 	{DutyLeft, slog.LevelInfo, "duty_left", "This instance is no longer the coordinator and stops monitoring the groups; another instance takes over the duty."},
 	{DutyRefused, slog.LevelWarn, "duty_refused", "The platform refused to appoint the candidate because it knows a newer coordinator or the candidate is not running; this instance requests a new token and starts no change of primary without one."},
 
-	{DocumentAdopted, slog.LevelInfo, "document_adopted", "A newer configuration document took effect on this instance."},
+	{DocumentAdopted, slog.LevelInfo, "document_adopted", "A newer configuration document took effect on this instance. On the users' platform, the event names the instance it came from, or the store, and how long it had been known to exist."},
+	{DocumentDelayed, slog.LevelWarn, "document_delayed", "A newer configuration document is known from another instance but could not be received from it; the event names both versions, how long the request took, and how long the newer one has been known. Check the load of the links."},
+	{DocumentRead, slog.LevelInfo, "document_read", "This instance read the complete configuration document from the store, or failed to: it is the coordinator, or what it had was no longer confirmed. The event names how long ago the store last confirmed it (0 if never) and how long the call took."},
 	{DocumentRejected, slog.LevelError, "document_rejected", "A configuration document, a group or the settings file is invalid and was not adopted; the last valid version stays in effect. Correct the fault that the error names."},
 	{PlatformDown, slog.LevelWarn, "platform_down", "Calls to the platform's store fail; the last known state stays in effect. Check that the store is running and reachable."},
 	{ListingRead, slog.LevelInfo, "listing_read", "This instance read the complete listing of upstreams from the store."},
--- a/io/member/changes_test.go
+++ b/io/member/changes_test.go
@@ -123,20 +123,20 @@
 	for num := range routes {
 		targets = append(targets, catlg.Target{Database: fmt.Sprintf("db%x", num*7919), Group: fmt.Sprint("g", num%20)})
 	}
-	source.adoptCatalog(catlg.New(3, time.Second, targets, nil))
+	source.adoptCatalog(catlg.New(3, time.Second, targets, nil), fromStore)
 	re := source.makeReply(exchangeQuery{}, source.now)
 	require.Equal(t, uint64(3), re.CatalogVersion)
 	require.Empty(t, re.CatalogPatch)
 	raw, err := source.feed.patch(source.catalog.Current(), 0)
 	require.NoError(t, err)
-	asker.applyPatch(raw)
+	asker.applyPatch(raw, "source")
 	require.Equal(t, source.catalog.Current(), asker.catalog.Current())
 
 	targets[5].Priority = 2
-	source.adoptCatalog(catlg.New(4, time.Second, targets, nil))
+	source.adoptCatalog(catlg.New(4, time.Second, targets, nil), fromStore)
 	re = source.makeReply(exchangeQuery{Catalog: 3}, source.now)
 	require.NotEmpty(t, re.CatalogPatch)
 	require.Less(t, len(re.CatalogPatch), 300)
-	asker.applyReply(re, asker.now)
+	asker.applyReply(re, "source", asker.now)
 	require.Equal(t, source.catalog.Current(), asker.catalog.Current())
 }
--- a/io/member/feed.go
+++ b/io/member/feed.go
@@ -15,6 +15,7 @@
 	"github.com/cockroachdb/errors"
 
 	"banyanspring/core/catlg"
+	"banyanspring/core/event"
 )
 
 const (
@@ -38,10 +39,34 @@
 	// current is the version that encoded, by the version to patch from, was made for.
 	current uint64
 	encoded map[uint64][]byte
+	// announced is the newest version that a peer has announced, and announcedAt is when
+	// it was first announced. It may not have been received yet.
+	announced   uint64
+	announcedAt time.Time
 	// isFetching is true while this member requests a patch.
 	isFetching atomic.Bool
 }
 
+// announce records that a peer has a version.
+func (cf *catalogFeed) announce(version uint64, now time.Time) {
+	cf.mu.Lock()
+	defer cf.mu.Unlock()
+	if version > cf.announced {
+		cf.announced, cf.announcedAt = version, now
+	}
+}
+
+// announcedFor returns how long a peer has been known to have the version or a newer one;
+// zero if none is known to.
+func (cf *catalogFeed) announcedFor(version uint64, now time.Time) time.Duration {
+	cf.mu.Lock()
+	defer cf.mu.Unlock()
+	if cf.announced < version || cf.announcedAt.IsZero() {
+		return 0
+	}
+	return now.Sub(cf.announcedAt)
+}
+
 // remember keeps a version that was replaced.
 func (cf *catalogFeed) remember(old *catlg.Catalog) {
 	cf.mu.Lock()
@@ -115,9 +140,9 @@
 	_, _ = rw.Write(raw)
 }
 
-// fetchCatalog requests the configuration from a member in the background, unless a
-// request is running.
-func (ps *peers) fetchCatalog(ctx context.Context, address string) {
+// fetchCatalog requests the announced version of the configuration from a member in the
+// background, unless a request is running.
+func (ps *peers) fetchCatalog(ctx context.Context, source entry, announced uint64) {
 	if !ps.me.feed.isFetching.CompareAndSwap(false, true) {
 		return
 	}
@@ -125,11 +150,19 @@
 		defer ps.me.feed.isFetching.Store(false)
 		ctx, cancel := context.WithTimeout(ctx, fetchTimeout)
 		defer cancel()
-		have := ps.me.catalog.Current().Version
-		url := "http://" + address + catalogPath + "?have=" + strconv.FormatUint(have, 10)
-		if raw, err := ps.get(ctx, url); err == nil {
-			ps.me.applyPatch(raw)
+		me := ps.me
+		have := me.catalog.Current().Version
+		url := "http://" + source.Address + catalogPath + "?have=" + strconv.FormatUint(have, 10)
+		began := me.deps.Now()
+		raw, err := ps.get(ctx, url)
+		if err != nil {
+			now := me.deps.Now()
+			event.Log(me.log, event.DocumentDelayed, "peer", source.Name, "announced", announced, "catalog_version", have,
+				"took_ms", now.Sub(began).Milliseconds(), "announced_ms", me.feed.announcedFor(announced, now).Milliseconds(),
+				"error", err.Error())
+			return
 		}
+		me.applyPatch(raw, source.Name)
 	}()
 }
 
@@ -149,15 +182,15 @@
 	return io.ReadAll(io.LimitReader(rs.Body, maxExchangeBytes))
 }
 
-// applyPatch activates the configuration that an encoded patch gives. A patch that
-// cannot be used is requested again with the next exchange.
-func (me *Member) applyPatch(raw []byte) {
+// applyPatch activates the configuration that an encoded patch from a member gives. A
+// patch that cannot be used is requested again with the next exchange.
+func (me *Member) applyPatch(raw []byte, from string) {
 	pa, err := decodePatch(raw)
 	if err != nil {
 		me.log.Warn("patch of the configuration", "error", err.Error())
 		return
 	}
 	if ca, ok := me.catalog.Current().WithPatch(pa); ok {
-		me.adoptCatalog(ca)
+		me.adoptCatalog(ca, from)
 	}
 }
--- a/io/member/member_test.go
+++ b/io/member/member_test.go
@@ -37,7 +37,7 @@
 // loadAllButMembers makes the listing and the configuration available.
 func (tm *testMember) loadAllButMembers() {
 	tm.hasListing.Store(true)
-	tm.adoptCatalog(catlg.New(1, time.Second, nil, nil))
+	tm.adoptCatalog(catlg.New(1, time.Second, nil, nil), fromStore)
 }
 
 // Guards against instances that serve before they have the list of members: when a
@@ -118,8 +118,8 @@
 
 	// A member with the newer listing must not go back to an older one.
 	late := newTestMember()
-	late.applyReply(re, late.now)
-	late.applyReply(exchangeReply{Listing: &listingSnapshot{Revision: 10, Upstreams: upstreams}}, late.now)
+	late.applyReply(re, "source", late.now)
+	late.applyReply(exchangeReply{Listing: &listingSnapshot{Revision: 10, Upstreams: upstreams}}, "source", late.now)
 	got, _ := late.listing().GetUpstreamByID("a")
 	require.True(t, got.Leaving)
 }
--- a/io/member/observe.go
+++ b/io/member/observe.go
@@ -30,6 +30,9 @@
 	me.metrics.Gauge("retried").Update(float64(counts.Retried.Load()))
 	me.metrics.Gauge("store_calls").Update(float64(me.deps.Store.Calls()))
 	me.metrics.Gauge("catalog_version").Update(float64(me.catalog.Current().Version))
+	if at := me.catalogAt.load(); !at.IsZero() {
+		me.metrics.Gauge("catalog_age_seconds").Update(me.deps.Now().Sub(at).Seconds())
+	}
 }
 
 // serveMetrics serves the metrics on the peers' address.
--- a/io/member/peer.go
+++ b/io/member/peer.go
@@ -264,9 +264,9 @@
 		me.roster.markLeaving(source.Name)
 		return true
 	}
-	me.applyReply(re, asked)
+	me.applyReply(re, source.Name, asked)
 	if re.CatalogVersion > me.catalog.Current().Version {
-		ps.fetchCatalog(context.WithoutCancel(ctx), source.Address)
+		ps.fetchCatalog(context.WithoutCancel(ctx), source, re.CatalogVersion)
 	}
 	return true
 }
@@ -291,11 +291,12 @@
 	return json.NewDecoder(io.LimitReader(rs.Body, maxExchangeBytes)).Decode(out)
 }
 
-// applyReply applies a source's reply. Ages are counted from the time of the query,
+// applyReply applies the reply of the named source. Ages are counted from the time of the query,
 // which is before the source computed them, so that no age is underestimated.
-func (me *Member) applyReply(re exchangeReply, asked time.Time) {
+func (me *Member) applyReply(re exchangeReply, source string, asked time.Time) {
+	me.feed.announce(re.CatalogVersion, me.deps.Now())
 	if re.CatalogPatch != nil {
-		me.applyPatch(re.CatalogPatch)
+		me.applyPatch(re.CatalogPatch, source)
 	}
 	if re.CatalogMs > 0 {
 		me.catalogAt.advance(asked.Add(-millis(re.CatalogMs)))
--- a/io/member/watch.go
+++ b/io/member/watch.go
@@ -93,16 +93,18 @@
 func (me *Member) watchCatalog(ctx context.Context) {
 	sw := &storeWatcher{me: me, what: "configuration", confirmedAt: &me.catalogAt, freshFor: me.settings.ApplyBound * freshPercent / 100}
 	sw.read = func(ctx context.Context) (uint64, error) {
+		began, age := me.deps.Now(), ageMs(me.catalogAt.load(), me.deps.Now())
 		ca, since, err := me.loadCatalog(ctx)
+		event.Log(me.log, event.DocumentRead, "age_ms", age, "took_ms", me.deps.Now().Sub(began).Milliseconds(), "error", errText(err))
 		if err == nil {
-			me.adoptCatalog(ca)
+			me.adoptCatalog(ca, fromStore)
 		}
 		return since, err
 	}
 	sw.await = func(ctx context.Context, since uint64) (uint64, error) {
 		ca, since, err := me.deps.Store.AwaitCatalog(ctx, since, me.settings.ApplyBound*watchPercent/100)
 		if err == nil && ca != nil {
-			me.adoptCatalog(ca)
+			me.adoptCatalog(ca, fromStore)
 		}
 		return since, err
 	}
@@ -115,14 +117,19 @@
 	return me.deps.Store.LoadCatalog(ctx)
 }
 
-// adoptCatalog activates a configuration unless it is older than the active one.
-func (me *Member) adoptCatalog(ca *catlg.Catalog) {
+// fromStore names the store in log lines, as the origin of a configuration.
+const fromStore = "store"
+
+// adoptCatalog activates a configuration unless it is older than the active one. from is
+// the member that it came from, or fromStore.
+func (me *Member) adoptCatalog(ca *catlg.Catalog, from string) {
 	old := me.catalog.Current()
 	if !me.catalog.Offer(ca) {
 		return
 	}
 	me.feed.remember(old)
-	event.Log(me.log, event.DocumentAdopted, "catalog_version", ca.Version)
+	event.Log(me.log, event.DocumentAdopted, "catalog_version", ca.Version, "from", from,
+		"announced_ms", me.feed.announcedFor(ca.Version, me.deps.Now()).Milliseconds())
 	me.checkReady()
 }
 
