Bound transfers from the store and from peers by progress, not by a fixed time

Cause: a configuration of some 4,200 routes is nearly 1 MB. 44 instances that start ask for it over a region link of 60 Mbit/s, which takes 5.9 s; each gave up after 2 s and began again, so that none ever had it. 155 reads ended at 2.0 s, 2 succeeded. Ruled out: a longer fixed timeout, which only moves the size at which it happens. Change: io/stall cancels a call that makes no progress; reads of the store, watches and requests to peers for the configuration may go on while data arrives, up to 20 s. Test: TestLargeConfigurationIsReadOverASharedLink, no version after 7.9 s before, all after.

--- a/io/member/feed.go
+++ b/io/member/feed.go
@@ -16,6 +16,7 @@
 
 	"banyanspring/core/catlg"
 	"banyanspring/core/event"
+	"banyanspring/io/stall"
 )
 
 const (
@@ -24,8 +25,8 @@
 	// to an exchange. Larger ones are requested separately: an exchange must be answered
 	// within exchangeTimeout, or its source counts as unreachable.
 	maxInlinePatchBytes = 4 << 10
-	// fetchTimeout bounds the request for a larger patch.
-	fetchTimeout = 3 * time.Second
+	// fetchTimeout is how long a request for a larger patch may make no progress.
+	fetchTimeout = 2 * time.Second
 	// keptCatalogs is how many former versions are kept to make patches from.
 	keptCatalogs = 3
 )
@@ -148,7 +149,7 @@
 	}
 	go func() {
 		defer ps.me.feed.isFetching.Store(false)
-		ctx, cancel := context.WithTimeout(ctx, fetchTimeout)
+		ctx, cancel := stall.WithTimeout(ctx, fetchTimeout, transferLimit, nil)
 		defer cancel()
 		me := ps.me
 		have := me.catalog.Current().Version
@@ -179,7 +180,7 @@
 	if rs.StatusCode != http.StatusOK {
 		return nil, errors.Newf("peer answered with HTTP status %d", rs.StatusCode)
 	}
-	return io.ReadAll(io.LimitReader(rs.Body, maxExchangeBytes))
+	return io.ReadAll(io.LimitReader(stall.NewReader(ctx, rs.Body), maxExchangeBytes))
 }
 
 // applyPatch activates the configuration that an encoded patch from a member gives. A
--- a/io/member/member.go
+++ b/io/member/member.go
@@ -179,8 +179,12 @@
 	// listingPause follows each answer to the listing's watch: each upstream writes
 	// its entry every second, and a call costs more than the events in it.
 	listingPause = 600 * time.Millisecond
-	// callTimeout bounds a call to the store that is not a watch.
+	// callTimeout bounds a call to the store that is not a watch; a call that reads data
+	// may take longer while data arrives, up to transferLimit.
 	callTimeout = 2 * time.Second
+	// transferLimit bounds a transfer of the configuration, the listing or the list of
+	// members.
+	transferLimit = 20 * time.Second
 	// retryPause follows a failed call to the store.
 	retryPause = 200 * time.Millisecond
 )
--- a/io/member/roster.go
+++ b/io/member/roster.go
@@ -13,6 +13,7 @@
 	"banyanspring/core/event"
 	"banyanspring/core/share"
 	"banyanspring/io/delay"
+	"banyanspring/io/stall"
 )
 
 // kindMember is the kind of the store objects through which members discover each
@@ -211,7 +212,7 @@
 }
 
 func (ro *roster) read(ctx context.Context) (uint64, error) {
-	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	ctx, cancel := stall.WithTimeout(ctx, callTimeout, transferLimit, nil)
 	defer cancel()
 	objs, revision, err := ro.me.deps.Store.List(ctx, kindMember)
 	if err != nil {
--- /dev/null
+++ b/io/member/transfer_test.go
@@ -0,0 +1,70 @@
+package member
+
+import (
+	"context"
+	"io"
+	"log/slog"
+	"sync/atomic"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"banyanspring/core/catlg"
+	"banyanspring/core/place"
+	"banyanspring/io/delay"
+	"banyanspring/io/stall"
+)
+
+// sharedLink is a link whose capacity is divided equally among the transfers under way.
+type sharedLink struct {
+	bytesPerSecond float64
+	active         atomic.Int64
+}
+
+// transfer returns once size bytes have passed the link, or with the context's error.
+func (sl *sharedLink) transfer(ctx context.Context, size float64) error {
+	const step = 20 * time.Millisecond
+	sl.active.Add(1)
+	defer sl.active.Add(-1)
+	for left := size; left > 0; {
+		if !delay.Pause(ctx, step) {
+			return context.Cause(ctx)
+		}
+		left -= sl.bytesPerSecond * step.Seconds() / float64(sl.active.Load())
+		stall.Progress(ctx)
+	}
+	return nil
+}
+
+// restart_behind_a_region_link: guards against instances that never receive a large
+// configuration, because reads of the store that share a link all end at a fixed timeout
+// and begin again.
+func TestLargeConfigurationIsReadOverASharedLink(t *testing.T) {
+	const (
+		members = 44
+		size    = 1e6
+	)
+	link := &sharedLink{bytesPerSecond: 60e6 / 8}
+	store := Store{LoadCatalog: func(ctx context.Context) (*catlg.Catalog, uint64, error) {
+		err := link.transfer(ctx, size)
+		return catlg.New(7, time.Second, nil, nil), 1, err
+	}}
+	// Metrics report in a goroutine that never ends, so members are made outside the bubble.
+	var fleet []*Member
+	for range members {
+		fleet = append(fleet, New(Settings{Name: "self", Site: place.Site{Domain: "here"}, ApplyBound: 5 * time.Second},
+			Dependencies{Now: time.Now, Store: store}, slog.New(slog.NewTextHandler(io.Discard, nil))))
+	}
+	synctest.Test(t, func(t *testing.T) {
+		for _, me := range fleet {
+			go me.watchCatalog(t.Context())
+		}
+		whole := time.Duration(members * size / link.bytesPerSecond * float64(time.Second))
+		time.Sleep(whole + 2*time.Second)
+		for _, me := range fleet {
+			require.Equal(t, uint64(7), me.catalog.Current().Version)
+		}
+	})
+}
--- a/io/member/watch.go
+++ b/io/member/watch.go
@@ -8,6 +8,7 @@
 	"banyanspring/core/event"
 	"banyanspring/core/group"
 	"banyanspring/io/delay"
+	"banyanspring/io/stall"
 )
 
 // storeWatcher keeps one kind of data from the store up to date. The coordinator
@@ -112,7 +113,7 @@
 }
 
 func (me *Member) loadCatalog(ctx context.Context) (*catlg.Catalog, uint64, error) {
-	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	ctx, cancel := stall.WithTimeout(ctx, callTimeout, transferLimit, nil)
 	defer cancel()
 	return me.deps.Store.LoadCatalog(ctx)
 }
@@ -143,7 +144,7 @@
 }
 
 func (me *Member) readListing(ctx context.Context) (uint64, error) {
-	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	ctx, cancel := stall.WithTimeout(ctx, callTimeout, transferLimit, nil)
 	defer cancel()
 	vi, skipped, err := me.deps.Store.ListUpstreams(ctx)
 	if err != nil {
