Take over a confirmation of the configuration only together with it

Cause: a reply to an exchange announces a large version and confirms it; the version comes by a request of its own. The confirmation was applied at once, so that an instance whose requests failed went on with the older version and never read the store itself. Change: the confirmation counts once the instance has the announced version. Test: TestConfirmationIsNotTakenOverWithoutTheConfiguration, failed before.

--- a/io/member/peer.go
+++ b/io/member/peer.go
@@ -298,7 +298,7 @@
 	if re.CatalogPatch != nil {
 		me.applyPatch(re.CatalogPatch, source)
 	}
-	if re.CatalogMs > 0 {
+	if re.CatalogMs > 0 && me.catalog.Current().Version >= re.CatalogVersion {
 		me.catalogAt.advance(asked.Add(-millis(re.CatalogMs)))
 	}
 	if re.Listing != nil {
--- a/io/member/transfer_test.go
+++ b/io/member/transfer_test.go
@@ -68,3 +68,21 @@
 		}
 	})
 }
+
+// Guards against instances that keep an older configuration, because they take over the
+// confirmation of a newer one that they have not received and so do not read the store.
+func TestConfirmationIsNotTakenOverWithoutTheConfiguration(t *testing.T) {
+	tm := newTestMember()
+	tm.adoptCatalog(catlg.New(3, time.Second, nil, nil), fromStore)
+	tm.applyReply(exchangeReply{CatalogMs: 10}, "source", tm.now)
+	confirmed := tm.catalogAt.load()
+	require.Equal(t, tm.now.Add(-10*time.Millisecond).UnixNano(), confirmed.UnixNano())
+
+	tm.now = tm.now.Add(time.Second)
+	tm.applyReply(exchangeReply{CatalogVersion: 4, CatalogMs: 10}, "source", tm.now)
+	require.Equal(t, confirmed, tm.catalogAt.load())
+
+	tm.adoptCatalog(catlg.New(4, time.Second, nil, nil), "source")
+	tm.applyReply(exchangeReply{CatalogMs: 10}, "source", tm.now)
+	require.True(t, tm.catalogAt.load().After(confirmed))
+}
