Check an unchanged configuration instead of reading it again

Ruled out: a longer time until a confirmation is missed; the bound of the users allows none. Change: exchanges carry a revision of the store at which there was no newer configuration. An instance whose state is no longer confirmed watches from there without waiting, which transfers the configuration only if it has changed. The coordinator still reads everything after a watch that failed, since history may have been dropped.

--- a/io/member/member.go
+++ b/io/member/member.go
@@ -95,6 +95,9 @@
 	listener net.Listener
 	// catalogAt and listingAt are when the store last confirmed the local copies.
 	catalogAt, listingAt instant
+	// catalogSince is a revision of the store at which no newer configuration than the
+	// active one existed; none if it is not known.
+	catalogSince revision
 	// startedAt is when the member was created.
 	startedAt time.Time
 	// loadedAt is when the configuration and the listing were first available.
@@ -168,6 +171,8 @@
 	// comes when the next watch ends: two waits and two exchanges, one of them
 	// possibly between regions, must fit into the time that counts as fresh.
 	watchPercent = 22
+	// checkWait is the wait of a watch that returns the changes made so far.
+	checkWait = time.Millisecond
 	// freshPoll is the time between two checks of freshness.
 	freshPoll = 200 * time.Millisecond
 	// startupSourceWait is how long a starting member that has a source waits for the
--- a/io/member/peer.go
+++ b/io/member/peer.go
@@ -87,6 +87,9 @@
 	// encoded patch to it if that is small.
 	CatalogVersion uint64 `json:"catalog,omitempty"`
 	CatalogPatch   []byte `json:"catalog_patch,omitempty"`
+	// CatalogSince is a revision of the store at which there was no newer configuration
+	// than the source's; zero if none is known.
+	CatalogSince uint64 `json:"catalog_since,omitempty"`
 	// CatalogMs and ListingMs are how long ago the store last confirmed them; zero
 	// if never.
 	CatalogMs int64 `json:"catalog_ms,omitempty"`
@@ -167,6 +170,8 @@
 		CatalogMs: ageMs(me.catalogAt.load(), now),
 		ListingMs: ageMs(me.listingAt.load(), now),
 		Evidence:  me.evidence(now),
+		// Read before the configuration itself, as CatalogMs is, so that they hold for it.
+		CatalogSince: me.catalogSince.load(),
 	}
 	re.Members = me.roster.changesSince(qu.Members)
 	re.MembersMs = ageMs(me.roster.confirmedAt.load(), now)
@@ -298,8 +303,11 @@
 	if re.CatalogPatch != nil {
 		me.applyPatch(re.CatalogPatch, source)
 	}
-	if re.CatalogMs > 0 && me.catalog.Current().Version >= re.CatalogVersion {
-		me.catalogAt.advance(asked.Add(-millis(re.CatalogMs)))
+	if me.catalog.Current().Version >= re.CatalogVersion {
+		me.catalogSince.advance(re.CatalogSince)
+		if re.CatalogMs > 0 {
+			me.catalogAt.advance(asked.Add(-millis(re.CatalogMs)))
+		}
 	}
 	if re.Listing != nil {
 		vi := group.NewView(re.Listing.Revision, re.Listing.Upstreams)
--- a/io/member/roster.go
+++ b/io/member/roster.go
@@ -128,7 +128,7 @@
 func (ro *roster) run(ctx context.Context) {
 	go ro.maintainOwnObject(ctx)
 	sw := &storeWatcher{
-		me: ro.me, what: "members", confirmedAt: &ro.confirmedAt, read: ro.read, await: ro.await,
+		me: ro.me, what: "members", confirmedAt: &ro.confirmedAt, since: &revision{}, read: ro.read, await: ro.await,
 		pause: membersPause, freshFor: membersFreshFor,
 	}
 	sw.run(ctx)
--- a/io/member/transfer_test.go
+++ b/io/member/transfer_test.go
@@ -47,10 +47,15 @@
 		size    = 1e6
 	)
 	link := &sharedLink{bytesPerSecond: 60e6 / 8}
-	store := Store{LoadCatalog: func(ctx context.Context) (*catlg.Catalog, uint64, error) {
-		err := link.transfer(ctx, size)
-		return catlg.New(7, time.Second, nil, nil), 1, err
-	}}
+	store := Store{
+		LoadCatalog: func(ctx context.Context) (*catlg.Catalog, uint64, error) {
+			err := link.transfer(ctx, size)
+			return catlg.New(7, time.Second, nil, nil), 1, err
+		},
+		AwaitCatalog: func(_ context.Context, since uint64, _ time.Duration) (*catlg.Catalog, uint64, error) {
+			return nil, since, nil
+		},
+	}
 	// Metrics report in a goroutine that never ends, so members are made outside the bubble.
 	var fleet []*Member
 	for range members {
@@ -86,3 +91,72 @@
 	tm.applyReply(exchangeReply{CatalogMs: 10}, "source", tm.now)
 	require.True(t, tm.catalogAt.load().After(confirmed))
 }
+
+// catalogStore is a store that holds one configuration and counts the calls for it.
+type catalogStore struct {
+	// version is the configuration's, and changedAt is its revision.
+	version, changedAt uint64
+	// oldest is the revision from which changes are known.
+	oldest        uint64
+	reads, checks int
+}
+
+func (cs *catalogStore) load(context.Context) (*catlg.Catalog, uint64, error) {
+	cs.reads++
+	return catlg.New(cs.version, time.Second, nil, nil), cs.changedAt, nil
+}
+
+func (cs *catalogStore) await(_ context.Context, since uint64, wait time.Duration) (*catlg.Catalog, uint64, error) {
+	cs.checks++
+	if since < cs.oldest {
+		return nil, since, ErrHistoryGone{}
+	}
+	if since < cs.changedAt {
+		return catlg.New(cs.version, time.Second, nil, nil), cs.changedAt, nil
+	}
+	time.Sleep(wait)
+	return nil, since, nil
+}
+
+// coordinator_lost_with_a_large_configuration: guards against a fleet whose members all
+// read a large configuration again and again, each time that it is no longer confirmed,
+// although it has not changed.
+func TestUnchangedConfigurationIsNotReadAgain(t *testing.T) {
+	store := &catalogStore{version: 7, changedAt: 40}
+	me := New(Settings{Name: "self", Site: place.Site{Domain: "here"}, ApplyBound: 5 * time.Second},
+		Dependencies{Now: time.Now, Store: Store{LoadCatalog: store.load, AwaitCatalog: store.await}},
+		slog.New(slog.NewTextHandler(io.Discard, nil)))
+	synctest.Test(t, func(t *testing.T) {
+		go me.watchCatalog(t.Context())
+		time.Sleep(30 * time.Second)
+		require.Equal(t, uint64(7), me.catalog.Current().Version)
+		require.Equal(t, 1, store.reads)
+		require.Greater(t, store.checks, 5)
+
+		// A change is found, also if the store no longer holds the changes since.
+		store.version, store.changedAt = 9, 80
+		time.Sleep(5 * time.Second)
+		require.Equal(t, uint64(9), me.catalog.Current().Version)
+		store.version, store.changedAt, store.oldest = 12, 120, 100
+		time.Sleep(5 * time.Second)
+		require.Equal(t, uint64(12), me.catalog.Current().Version)
+		require.Equal(t, 2, store.reads)
+	})
+}
+
+// A member that receives the configuration from others checks for changes from the
+// revision at which it was confirmed for them.
+func TestConfirmedRevisionIsPassedOn(t *testing.T) {
+	source, asker := newTestMember(), newTestMember()
+	source.adoptCatalog(catlg.New(3, time.Second, nil, nil), fromStore)
+	source.catalogSince.advance(55)
+	exchange := func() {
+		have := asker.catalog.Current().Version
+		asker.applyReply(source.makeReply(exchangeQuery{Catalog: have}, source.now), "source", asker.now)
+	}
+	exchange()
+	require.Equal(t, uint64(3), asker.catalog.Current().Version)
+	require.Equal(t, uint64(55), asker.catalogSince.load())
+	asker.applyReply(exchangeReply{CatalogVersion: 5, CatalogSince: 90}, "source", asker.now)
+	require.Equal(t, uint64(55), asker.catalogSince.load(), "version 5 has not been received")
+}
--- a/io/member/watch.go
+++ b/io/member/watch.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync/atomic"
 	"time"
 
 	"banyanspring/core/catlg"
@@ -20,25 +21,48 @@
 	what string
 	// confirmedAt is when the store last confirmed the local state.
 	confirmedAt *instant
+	// since is the store's revision up to which the local state is complete; 0 if that is
+	// not known.
+	since *revision
+	// mustRead is true if the next call must read everything.
+	mustRead bool
 	// read reads everything and returns the revision to wait from.
 	read func(ctx context.Context) (uint64, error)
 	// await waits for changes and returns the revision to wait from next.
 	await func(ctx context.Context, since uint64) (uint64, error)
+	// check applies the changes since a revision without waiting for any and returns the
+	// revision to check from next; nil if the state is read instead.
+	check func(ctx context.Context, since uint64) (uint64, error)
 	// pause follows each successful call; zero if the next call follows at once.
 	pause time.Duration
 	// freshFor is how long a confirmation by the store counts as fresh.
 	freshFor time.Duration
 }
 
+// revision is a revision of the store that never decreases. It is safe for concurrent
+// use.
+type revision struct{ number atomic.Uint64 }
+
+// load returns the revision; 0 if there is none.
+func (re *revision) load() uint64 { return re.number.Load() }
+
+// advance sets the revision if the new one is higher.
+func (re *revision) advance(number uint64) {
+	for {
+		old := re.number.Load()
+		if number <= old || re.number.CompareAndSwap(old, number) {
+			return
+		}
+	}
+}
+
 func (sw *storeWatcher) run(ctx context.Context) {
-	var since uint64
-	canWatch := false
 	he := &health{me: sw.me, what: sw.what}
 	for ctx.Err() == nil {
 		asked := sw.me.deps.Now()
 		isCoordinator := sw.me.roster.isCoordinator()
 		if !isCoordinator && sw.isFresh(asked) {
-			canWatch = false
+			sw.mustRead = sw.check == nil
 			delay.Pause(ctx, freshPoll)
 			continue
 		}
@@ -46,16 +70,14 @@
 			delay.Pause(ctx, storePoll)
 			continue
 		}
-		var err error
-		if canWatch && isCoordinator {
-			since, err = sw.await(ctx, since)
-		} else {
-			since, err = sw.read(ctx)
-		}
+		next, err := sw.call(ctx, isCoordinator)
 		he.record(err)
 		sw.me.pacer.record(err)
-		canWatch = err == nil
+		// After a failed watch the coordinator reads everything: the store may have cut
+		// it because changes were dropped from its history.
+		sw.mustRead = err != nil && (isCoordinator || sw.mustRead || sw.check == nil || IsErrHistoryGone(err))
 		if err == nil {
+			sw.since.advance(next)
 			// The store may have read its state at any time since the start of the
 			// call, so no later time is confirmed.
 			sw.confirmedAt.advance(asked)
@@ -64,6 +86,22 @@
 	}
 }
 
+// call brings the local state up to date by the cheapest call, and returns the revision
+// from which to go on. A configuration may have a megabyte, so that a fleet that reads it
+// all at once fills its links; a check transfers it only if it has changed.
+func (sw *storeWatcher) call(ctx context.Context, isCoordinator bool) (uint64, error) {
+	since := sw.since.load()
+	switch {
+	case sw.mustRead || since == 0:
+		return sw.read(ctx)
+	case isCoordinator:
+		return sw.await(ctx, since)
+	case sw.check != nil:
+		return sw.check(ctx, since)
+	}
+	return sw.read(ctx)
+}
+
 // pauseAfter returns the pause after a call. After a call without an answer, the
 // storePacer decides when to call again, and storePoll is only the interval at which
 // it is asked. The storePacer does not delay calls after a negative answer, such as
@@ -92,7 +130,10 @@
 
 // watchCatalog keeps the active configuration up to date.
 func (me *Member) watchCatalog(ctx context.Context) {
-	sw := &storeWatcher{me: me, what: "configuration", confirmedAt: &me.catalogAt, freshFor: me.settings.ApplyBound * freshPercent / 100}
+	sw := &storeWatcher{
+		me: me, what: "configuration", confirmedAt: &me.catalogAt, since: &me.catalogSince,
+		freshFor: me.settings.ApplyBound * freshPercent / 100,
+	}
 	sw.read = func(ctx context.Context) (uint64, error) {
 		began, age := me.deps.Now(), ageMs(me.catalogAt.load(), me.deps.Now())
 		ca, since, err := me.loadCatalog(ctx)
@@ -102,12 +143,25 @@
 		}
 		return since, err
 	}
-	sw.await = func(ctx context.Context, since uint64) (uint64, error) {
-		ca, since, err := me.deps.Store.AwaitCatalog(ctx, since, me.settings.ApplyBound*watchPercent/100)
+	await := func(ctx context.Context, since uint64, wait time.Duration) (bool, uint64, error) {
+		ca, since, err := me.deps.Store.AwaitCatalog(ctx, since, wait)
 		if err == nil && ca != nil {
 			me.adoptCatalog(ca, fromStore)
 		}
-		return since, err
+		return ca != nil, since, err
+	}
+	sw.await = func(ctx context.Context, since uint64) (uint64, error) {
+		_, next, err := await(ctx, since, me.settings.ApplyBound*watchPercent/100)
+		return next, err
+	}
+	sw.check = func(ctx context.Context, since uint64) (uint64, error) {
+		hasChanged, next, err := await(ctx, since, checkWait)
+		if !hasChanged {
+			// A store that is about to drop its history may hold back a change. The next
+			// check then finds it, or is told that the history is gone.
+			next = since
+		}
+		return next, err
 	}
 	sw.run(ctx)
 }
@@ -137,7 +191,7 @@
 // watchListing keeps the listing of upstreams up to date.
 func (me *Member) watchListing(ctx context.Context) {
 	sw := &storeWatcher{
-		me: me, what: "listing", confirmedAt: &me.listingAt, read: me.readListing, await: me.awaitListing,
+		me: me, what: "listing", confirmedAt: &me.listingAt, since: &revision{}, read: me.readListing, await: me.awaitListing,
 		pause: listingPause, freshFor: me.settings.DrainBound * freshPercent / 100,
 	}
 	sw.run(ctx)
