Start with the configuration of the source instead of reading the store

Cause: a starting instance reads the configuration and the listing from the store at once, because it does not know its source before it has the list of members. 88 instances read 1 MB each over the links that their callers' requests need; of 44 in the region without the store half took 0.73 s and more until they served. Ruled out: fewer concurrent reads by a limit in the store's client, which makes each instance wait instead. The first of a failure domain reads the store if its own source has nothing. The others wait 700 ms, and as long as they or their source are receiving a configuration. Later the first of a domain checks the store before the others do (62% and 70% of the bound). Tests: TestStartingMemberTakesTheConfigurationFromItsSource (every member read the store at once before), TestFirstOfADomainReadsTheStoreAfterItsFirstExchange.

--- a/io/member/feed.go
+++ b/io/member/feed.go
@@ -46,6 +46,29 @@
 	announcedAt time.Time
 	// isFetching is true while this member requests a patch.
 	isFetching atomic.Bool
+	// receivedAt is when data of a configuration last arrived, and sourceReceivedAt is
+	// when the source last said that it was receiving one.
+	receivedAt, sourceReceivedAt instant
+}
+
+const (
+	// receivingFor is how long after data has arrived a transfer counts as under way.
+	receivingFor = 500 * time.Millisecond
+	// sourceReceivingFor is the same for a transfer to the source: two exchanges.
+	sourceReceivingFor = 2 * crossRegionInterval
+)
+
+// isReceiving reports whether this member is receiving a configuration.
+func (cf *catalogFeed) isReceiving(now time.Time) bool {
+	at := cf.receivedAt.load()
+	return !at.IsZero() && now.Sub(at) < receivingFor
+}
+
+// isExpected reports whether a configuration will arrive from the source: this member or
+// its source is receiving one.
+func (cf *catalogFeed) isExpected(now time.Time) bool {
+	at := cf.sourceReceivedAt.load()
+	return cf.isReceiving(now) || !at.IsZero() && now.Sub(at) < sourceReceivingFor
 }
 
 // announce records that a peer has a version.
@@ -141,6 +164,9 @@
 	_, _ = rw.Write(raw)
 }
 
+// recordReceiving records that data of a configuration has arrived.
+func (me *Member) recordReceiving() { me.feed.receivedAt.advance(me.deps.Now()) }
+
 // fetchCatalog requests the announced version of the configuration from a member in the
 // background, unless a request is running.
 func (ps *peers) fetchCatalog(ctx context.Context, source entry, announced uint64) {
@@ -149,9 +175,9 @@
 	}
 	go func() {
 		defer ps.me.feed.isFetching.Store(false)
-		ctx, cancel := stall.WithTimeout(ctx, fetchTimeout, transferLimit, nil)
-		defer cancel()
 		me := ps.me
+		ctx, cancel := stall.WithTimeout(ctx, fetchTimeout, transferLimit, me.recordReceiving)
+		defer cancel()
 		have := me.catalog.Current().Version
 		url := "http://" + source.Address + catalogPath + "?have=" + strconv.FormatUint(have, 10)
 		began := me.deps.Now()
--- a/io/member/member.go
+++ b/io/member/member.go
@@ -165,6 +165,9 @@
 	// state stops arriving, the others read the store themselves, and have the rest
 	// of the bound for that.
 	freshPercent = 70
+	// firstFreshPercent is the same for the first member of each failure domain, which
+	// reads the store before the others.
+	firstFreshPercent = 62
 	// watchPercent is the percentage of ApplyBound for which one watch of the
 	// coordinator waits, so that a watch that receives nothing more is noticed
 	// soon. A watch confirms the state as of its start, and the next confirmation
@@ -175,9 +178,14 @@
 	checkWait = time.Millisecond
 	// freshPoll is the time between two checks of freshness.
 	freshPoll = 200 * time.Millisecond
+	// startupListWait is how long a starting member waits for the list of members, from
+	// which its source follows.
+	startupListWait = 250 * time.Millisecond
 	// startupSourceWait is how long a starting member that has a source waits for the
 	// source's state before it reads the store itself.
 	startupSourceWait = 700 * time.Millisecond
+	// startupPoll is the time between two checks of that.
+	startupPoll = 20 * time.Millisecond
 	// startupMembersWait is how long a member that has everything else waits for
 	// the list of members, about a hundred times the store's response time.
 	startupMembersWait = 500 * time.Millisecond
--- a/io/member/member_test.go
+++ b/io/member/member_test.go
@@ -183,5 +183,7 @@
 	for _, bound := range []time.Duration{3 * time.Second, 5 * time.Second} {
 		oldest := 2*bound*watchPercent/100 + crossRegionInterval + exchangeInterval
 		require.Less(t, oldest, bound*freshPercent/100)
+		// The first of a failure domain exchanges with the coordinator itself.
+		require.Less(t, oldest-exchangeInterval, bound*firstFreshPercent/100)
 	}
 }
--- a/io/member/peer.go
+++ b/io/member/peer.go
@@ -8,6 +8,7 @@
 	"net"
 	"net/http"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -87,6 +88,8 @@
 	// encoded patch to it if that is small.
 	CatalogVersion uint64 `json:"catalog,omitempty"`
 	CatalogPatch   []byte `json:"catalog_patch,omitempty"`
+	// IsReceiving is true if the source is receiving a configuration.
+	IsReceiving bool `json:"catalog_receiving,omitempty"`
 	// CatalogSince is a revision of the store at which there was no newer configuration
 	// than the source's; zero if none is known.
 	CatalogSince uint64 `json:"catalog_since,omitempty"`
@@ -117,6 +120,8 @@
 type peers struct {
 	me   *Member
 	http *http.Client
+	// hasExchanged is true once the first exchange with the source has ended.
+	hasExchanged atomic.Bool
 }
 
 func newPeers(me *Member) *peers {
@@ -170,6 +175,8 @@
 		CatalogMs: ageMs(me.catalogAt.load(), now),
 		ListingMs: ageMs(me.listingAt.load(), now),
 		Evidence:  me.evidence(now),
+
+		IsReceiving: me.feed.isReceiving(now),
 		// Read before the configuration itself, as CatalogMs is, so that they hold for it.
 		CatalogSince: me.catalogSince.load(),
 	}
@@ -190,7 +197,12 @@
 
 // run exchanges with the source periodically.
 func (ps *peers) run(ctx context.Context) {
-	pause := exchangeInterval
+	var pause time.Duration
+	select {
+	case <-ps.me.roster.listed:
+	case <-time.After(startupListWait):
+	case <-ctx.Done():
+	}
 	for delay.Pause(ctx, pause) {
 		pause = exchangeInterval
 		if en, ok := ps.me.roster.nextUnreached(ps.me.deps.Now()); ok {
@@ -251,6 +263,7 @@
 
 // exchange asks one member and reports whether it answered.
 func (ps *peers) exchange(ctx context.Context, source entry) bool {
+	defer ps.hasExchanged.Store(true)
 	ctx, cancel := context.WithTimeout(ctx, exchangeTimeout)
 	defer cancel()
 	me := ps.me
@@ -300,6 +313,9 @@
 // which is before the source computed them, so that no age is underestimated.
 func (me *Member) applyReply(re exchangeReply, source string, asked time.Time) {
 	me.feed.announce(re.CatalogVersion, me.deps.Now())
+	if re.IsReceiving {
+		me.feed.sourceReceivedAt.advance(asked)
+	}
 	if re.CatalogPatch != nil {
 		me.applyPatch(re.CatalogPatch, source)
 	}
--- a/io/member/roster.go
+++ b/io/member/roster.go
@@ -79,8 +79,11 @@
 	// shared holds the members among which connections are divided; nil if it must
 	// be rebuilt. It is never changed in place.
 	shared []share.Member
-	// listRevision is the revision of the list of members.
+	// listRevision is the revision of the list of members, and listed is closed once there
+	// is one.
 	listRevision uint64
+	listed       chan struct{}
+	listedOnce   sync.Once
 	// removals holds the members that were removed after historySince, the oldest first.
 	removals     []removal
 	historySince uint64
@@ -121,7 +124,7 @@
 		Region:  me.settings.Site.Region,
 		Started: time.Now().UnixNano(),
 	}
-	return &roster{me: me, members: make(map[string]*knownMember), domainHeardAt: make(map[string]time.Time), self: self, wake: make(chan struct{}, 1), reshare: make(chan struct{}, 1)}
+	return &roster{me: me, members: make(map[string]*knownMember), domainHeardAt: make(map[string]time.Time), self: self, listed: make(chan struct{}), wake: make(chan struct{}, 1), reshare: make(chan struct{}, 1)}
 }
 
 // run writes this member's object and keeps the list of members up to date.
@@ -129,7 +132,7 @@
 	go ro.maintainOwnObject(ctx)
 	sw := &storeWatcher{
 		me: ro.me, what: "members", confirmedAt: &ro.confirmedAt, since: &revision{}, read: ro.read, await: ro.await,
-		pause: membersPause, freshFor: membersFreshFor,
+		pause: membersPause, freshFor: membersFreshFor, firstFreshFor: membersFreshFor, isReadFirst: true,
 	}
 	sw.run(ctx)
 }
@@ -233,6 +236,7 @@
 	}
 	if ro.listRevision == 0 {
 		ro.historySince = revision
+		ro.listedOnce.Do(func() { close(ro.listed) })
 	}
 	ro.listRevision = revision
 	listed := make(map[string]bool, len(objs))
@@ -311,6 +315,14 @@
 	return out
 }
 
+// isDomainFirst reports whether this member is the first of its failure domain, from
+// which the others of the domain receive the state.
+func (ro *roster) isDomainFirst() bool {
+	ro.mu.Lock()
+	defer ro.mu.Unlock()
+	return ro.isFirstOfDomain(ro.ranked())
+}
+
 // isFirstOfDomain reports whether this member is the first of its failure
 // domain; mu is held.
 func (ro *roster) isFirstOfDomain(ranked []*knownMember) bool {
--- a/io/member/transfer_test.go
+++ b/io/member/transfer_test.go
@@ -64,6 +64,7 @@
 	}
 	synctest.Test(t, func(t *testing.T) {
 		for _, me := range fleet {
+			me.startedAt = time.Now()
 			go me.watchCatalog(t.Context())
 		}
 		whole := time.Duration(members * size / link.bytesPerSecond * float64(time.Second))
@@ -127,6 +128,7 @@
 		Dependencies{Now: time.Now, Store: Store{LoadCatalog: store.load, AwaitCatalog: store.await}},
 		slog.New(slog.NewTextHandler(io.Discard, nil)))
 	synctest.Test(t, func(t *testing.T) {
+		me.startedAt = time.Now()
 		go me.watchCatalog(t.Context())
 		time.Sleep(30 * time.Second)
 		require.Equal(t, uint64(7), me.catalog.Current().Version)
@@ -160,3 +162,36 @@
 	asker.applyReply(exchangeReply{CatalogVersion: 5, CatalogSince: 90}, "source", asker.now)
 	require.Equal(t, uint64(55), asker.catalogSince.load(), "version 5 has not been received")
 }
+
+// rolling_restart_with_a_large_configuration: guards against instances that read it from
+// the store at their start, though their source has it or is reading it.
+func TestStartingMemberTakesTheConfigurationFromItsSource(t *testing.T) {
+	tm := newTestMember()
+	sw := &storeWatcher{me: tm.Member, confirmedAt: &tm.catalogAt, isExpected: tm.feed.isExpected}
+	require.True(t, sw.isFresh(tm.now), "the source is not known yet")
+	require.False(t, sw.isFresh(tm.now.Add(startupListWait)))
+
+	tm.list("here", "a")
+	started := tm.now
+	tm.now = started.Add(startupSourceWait - time.Millisecond)
+	require.True(t, sw.isFresh(tm.now))
+	tm.applyReply(exchangeReply{IsReceiving: true}, "a", tm.now)
+	tm.now = started.Add(startupSourceWait)
+	require.True(t, sw.isFresh(tm.now), "the source is receiving it")
+	tm.recordReceiving()
+	tm.now = tm.now.Add(receivingFor - time.Millisecond)
+	require.True(t, sw.isFresh(tm.now), "it is arriving here")
+	tm.now = tm.now.Add(sourceReceivingFor)
+	require.False(t, sw.isFresh(tm.now))
+}
+
+// Guards against a failure domain in which nobody reads the store at a start of all,
+// because each member waits for the first one.
+func TestFirstOfADomainReadsTheStoreAfterItsFirstExchange(t *testing.T) {
+	tm := newTestMember()
+	sw := &storeWatcher{me: tm.Member, confirmedAt: &tm.catalogAt, isExpected: tm.feed.isExpected}
+	tm.list("there", "a")
+	require.True(t, sw.isFresh(tm.now))
+	tm.peers.hasExchanged.Store(true)
+	require.False(t, sw.isFresh(tm.now))
+}
--- a/io/member/watch.go
+++ b/io/member/watch.go
@@ -35,8 +35,15 @@
 	check func(ctx context.Context, since uint64) (uint64, error)
 	// pause follows each successful call; zero if the next call follows at once.
 	pause time.Duration
-	// freshFor is how long a confirmation by the store counts as fresh.
-	freshFor time.Duration
+	// freshFor is how long a confirmation by the store counts as fresh. firstFreshFor is
+	// the same for the first member of a failure domain, so that the others of the domain
+	// receive from it what it reads.
+	freshFor, firstFreshFor time.Duration
+	// isExpected reports whether the data is about to arrive from the source; may be nil.
+	isExpected func(now time.Time) bool
+	// isReadFirst is true for the data from which sources follow, which a starting member
+	// reads at once.
+	isReadFirst bool
 }
 
 // revision is a revision of the store that never decreases. It is safe for concurrent
@@ -63,7 +70,7 @@
 		isCoordinator := sw.me.roster.isCoordinator()
 		if !isCoordinator && sw.isFresh(asked) {
 			sw.mustRead = sw.check == nil
-			delay.Pause(ctx, freshPoll)
+			delay.Pause(ctx, sw.pollPause())
 			continue
 		}
 		if !sw.me.pacer.allow() {
@@ -102,6 +109,14 @@
 	return sw.read(ctx)
 }
 
+// pollPause returns the time between two checks of freshness.
+func (sw *storeWatcher) pollPause() time.Duration {
+	if sw.confirmedAt.load().IsZero() {
+		return startupPoll
+	}
+	return freshPoll
+}
+
 // pauseAfter returns the pause after a call. After a call without an answer, the
 // storePacer decides when to call again, and storePoll is only the interval at which
 // it is asked. The storePacer does not delay calls after a negative answer, such as
@@ -117,22 +132,47 @@
 }
 
 // isFresh reports whether a member other than the coordinator need not read the store.
-// Before the first confirmation, a member that has a source waits for the source's
-// state, but at most startupSourceWait.
 func (sw *storeWatcher) isFresh(now time.Time) bool {
 	at := sw.confirmedAt.load()
-	if !at.IsZero() {
-		return now.Sub(at) < sw.freshFor
+	if at.IsZero() {
+		return sw.isStartupWait(now)
+	}
+	limit := sw.freshFor
+	if sw.me.roster.isDomainFirst() {
+		limit = sw.firstFreshFor
+	}
+	return now.Sub(at) < limit || sw.isExpected != nil && sw.isExpected(now)
+}
+
+// isStartupWait reports whether a starting member waits for the data from its source
+// instead of reading the store. The first of a failure domain waits only for the answer
+// to its first exchange, the others for it to read the store.
+func (sw *storeWatcher) isStartupWait(now time.Time) bool {
+	if sw.isReadFirst {
+		return false
+	}
+	me := sw.me
+	if !me.roster.hasList() {
+		return now.Sub(me.startedAt) < startupListWait
+	}
+	if _, hasSource := me.roster.source(); !hasSource {
+		return false
 	}
-	_, hasSource := sw.me.roster.source()
-	return hasSource && now.Sub(sw.me.startedAt) < startupSourceWait
+	if sw.isExpected != nil && sw.isExpected(now) {
+		return true
+	}
+	if me.roster.isDomainFirst() && me.peers.hasExchanged.Load() {
+		return false
+	}
+	return now.Sub(me.startedAt) < startupSourceWait
 }
 
 // watchCatalog keeps the active configuration up to date.
 func (me *Member) watchCatalog(ctx context.Context) {
 	sw := &storeWatcher{
 		me: me, what: "configuration", confirmedAt: &me.catalogAt, since: &me.catalogSince,
-		freshFor: me.settings.ApplyBound * freshPercent / 100,
+		freshFor: me.settings.ApplyBound * freshPercent / 100, firstFreshFor: me.settings.ApplyBound * firstFreshPercent / 100,
+		isExpected: me.feed.isExpected,
 	}
 	sw.read = func(ctx context.Context) (uint64, error) {
 		began, age := me.deps.Now(), ageMs(me.catalogAt.load(), me.deps.Now())
@@ -167,7 +207,7 @@
 }
 
 func (me *Member) loadCatalog(ctx context.Context) (*catlg.Catalog, uint64, error) {
-	ctx, cancel := stall.WithTimeout(ctx, callTimeout, transferLimit, nil)
+	ctx, cancel := stall.WithTimeout(ctx, callTimeout, transferLimit, me.recordReceiving)
 	defer cancel()
 	return me.deps.Store.LoadCatalog(ctx)
 }
@@ -192,7 +232,8 @@
 func (me *Member) watchListing(ctx context.Context) {
 	sw := &storeWatcher{
 		me: me, what: "listing", confirmedAt: &me.listingAt, since: &revision{}, read: me.readListing, await: me.awaitListing,
-		pause: listingPause, freshFor: me.settings.DrainBound * freshPercent / 100,
+		pause:    listingPause,
+		freshFor: me.settings.DrainBound * freshPercent / 100, firstFreshFor: me.settings.DrainBound * firstFreshPercent / 100,
 	}
 	sw.run(ctx)
 }
--- a/io/stall/stall.go
+++ b/io/stall/stall.go
@@ -18,6 +18,8 @@
 	idle       time.Duration
 	cancel     context.CancelCauseFunc
 	onProgress func()
+	// outer is that of the context from which the watchdog's was made; nil if none.
+	outer *watchdog
 
 	mu    sync.Mutex
 	timer *time.Timer
@@ -27,9 +29,10 @@
 // cause, once Progress was not called for idle, and in any case after total. Progress
 // also calls onProgress, which may be nil.
 func WithTimeout(ctx context.Context, idle, total time.Duration, onProgress func()) (context.Context, context.CancelFunc) {
+	outer, _ := ctx.Value(contextKey{}).(*watchdog)
 	ctx, cancelTotal := context.WithTimeout(ctx, total)
 	ctx, cancel := context.WithCancelCause(ctx)
-	wd := &watchdog{idle: idle, cancel: cancel, onProgress: onProgress}
+	wd := &watchdog{idle: idle, cancel: cancel, onProgress: onProgress, outer: outer}
 	wd.timer = time.AfterFunc(idle, func() { cancel(context.DeadlineExceeded) })
 	return context.WithValue(ctx, contextKey{}, wd), func() {
 		wd.timer.Stop()
@@ -38,13 +41,16 @@
 	}
 }
 
-// Progress restarts the time after which a context of WithTimeout is canceled. It has no
-// effect on other contexts.
+// Progress restarts the time after which a context of WithTimeout, and those that it was
+// made from, are canceled. It has no effect on other contexts.
 func Progress(ctx context.Context) {
-	wd, ok := ctx.Value(contextKey{}).(*watchdog)
-	if !ok {
-		return
+	wd, _ := ctx.Value(contextKey{}).(*watchdog)
+	for ; wd != nil; wd = wd.outer {
+		wd.restart()
 	}
+}
+
+func (wd *watchdog) restart() {
 	if wd.onProgress != nil {
 		wd.onProgress()
 	}
--- a/io/stall/stall_test.go
+++ b/io/stall/stall_test.go
@@ -62,3 +62,19 @@
 	}
 	require.Equal(t, 2, count)
 }
+
+func TestProgressReachesTheOuterContext(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		outer, cancelOuter := WithTimeout(t.Context(), time.Second, time.Minute, nil)
+		defer cancelOuter()
+		inner, cancelInner := WithTimeout(outer, 5*time.Second, time.Minute, nil)
+		defer cancelInner()
+		for range 3 {
+			time.Sleep(900 * time.Millisecond)
+			Progress(inner)
+		}
+		require.NoError(t, outer.Err())
+		time.Sleep(2 * time.Second)
+		require.ErrorIs(t, context.Cause(inner), context.DeadlineExceeded)
+	})
+}
