Do not take a member's own shutdown for unreachable peers

Cause: the shutdown ends the context of its exchanges, which then count as failed. Change: an exchange that ended for that reason is not recorded. Test: TestShutdownDoesNotMarkOthersAsUnreachable, failed before.

--- a/io/member/peer.go
+++ b/io/member/peer.go
@@ -262,9 +262,9 @@
 }
 
 // exchange asks one member and reports whether it answered.
-func (ps *peers) exchange(ctx context.Context, source entry) bool {
+func (ps *peers) exchange(parent context.Context, source entry) bool {
 	defer ps.hasExchanged.Store(true)
-	ctx, cancel := context.WithTimeout(ctx, exchangeTimeout)
+	ctx, cancel := context.WithTimeout(parent, exchangeTimeout)
 	defer cancel()
 	me := ps.me
 	asked := me.deps.Now()
@@ -274,6 +274,10 @@
 	}
 	var re exchangeReply
 	err := ps.post(ctx, "http://"+source.Address+exchangePath, qu, &re)
+	if parent.Err() != nil {
+		// This member is shutting down, which says nothing about the other one.
+		return false
+	}
 	me.roster.recordExchange(source, !re.NotJoined, err, me.deps.Now())
 	if err != nil {
 		return false
--- a/io/member/transfer_test.go
+++ b/io/member/transfer_test.go
@@ -195,3 +195,17 @@
 	tm.peers.hasExchanged.Store(true)
 	require.False(t, sw.isFresh(tm.now))
 }
+
+// Guards against a member that logs all others as unreachable because its own shutdown
+// ended its exchanges.
+func TestShutdownDoesNotMarkOthersAsUnreachable(t *testing.T) {
+	tm := newTestMember()
+	tm.list("here", "a")
+	ctx, cancel := context.WithCancel(t.Context())
+	cancel()
+	for range unreachedAfter {
+		require.False(t, tm.peers.exchange(ctx, entry{Name: "a", Address: "127.0.0.1:1"}))
+	}
+	_, hasSource := tm.roster.source()
+	require.True(t, hasSource)
+}
