Send large listings and lists of members apart from the exchange

At the size to design for (1,300 databases in groups of three, 790 instances) the first reply to an instance is 0.85 MB, 0.7 s at 10 Mbit/s for one of them. Change: a reply above 16 KB leaves out both lists and their confirmations and says so; the instance requests them once more without that limit, bounded by progress. Test: TestLargeListsAreNotPartOfAnExchange (start_at_design_size), without network; there was no bound on a reply before.

--- a/core/event/event.go
+++ b/core/event/event.go
@@ -56,6 +56,7 @@
 	DutyTaken      ID = 405
 	DutyRefused    ID = 406
 	DutyLeft       ID = 407
+	ListsDelayed   ID = 409
 
 	DocumentAdopted  ID = 501
 	DocumentRejected ID = 502
@@ -129,6 +130,7 @@
 	{DutyTaken, slog.LevelInfo, "duty_taken", "This instance is now the coordinator and monitors the groups."},
 	{DutyLeft, slog.LevelInfo, "duty_left", "This instance is no longer the coordinator and stops monitoring the groups; another instance takes over the duty."},
 	{DutyRefused, slog.LevelWarn, "duty_refused", "The platform refused to appoint the candidate because it knows a newer coordinator or the candidate is not running; this instance requests a new token and starts no change of primary without one."},
+	{ListsDelayed, slog.LevelWarn, "lists_delayed", "This instance could not receive the listing of upstreams and the list of instances, which are too large for an exchange, from another instance; it asks again. Check the load of the links."},
 
 	{DocumentAdopted, slog.LevelInfo, "document_adopted", "A newer configuration document took effect on this instance. On the users' platform, the event names the instance it came from, or the store, and how long it had been known to exist."},
 	{DocumentDelayed, slog.LevelWarn, "document_delayed", "A newer configuration document is known from another instance but could not be received from it; the event names both versions, how long the request took, and how long the newer one has been known. Check the load of the links."},
--- a/io/member/peer.go
+++ b/io/member/peer.go
@@ -13,12 +13,14 @@
 
 	"github.com/cockroachdb/errors"
 
+	"banyanspring/core/event"
 	"banyanspring/core/evid"
 	"banyanspring/core/group"
 	"banyanspring/core/lease"
 	"banyanspring/core/life"
 	"banyanspring/core/posn"
 	"banyanspring/io/delay"
+	"banyanspring/io/stall"
 )
 
 const (
@@ -36,6 +38,10 @@
 	exchangeTimeout = 250 * time.Millisecond
 	// maxExchangeBytes bounds the body of a query or reply, in bytes.
 	maxExchangeBytes = 8 << 20
+	// maxReplyBytes is the size up to which a reply holds the listing and the list of
+	// members. Many members share their source's link, and an exchange must be answered
+	// within exchangeTimeout.
+	maxReplyBytes = 16 << 10
 )
 
 // wireOpinion is one member's opinion of a group's leader, or evidence on it, on
@@ -76,6 +82,8 @@
 	Listing   uint64        `json:"listing"`
 	Members   uint64        `json:"members"`
 	Opinions  []wireOpinion `json:"opinions"`
+	// IsTransfer is true if the reply may be large and take long.
+	IsTransfer bool `json:"transfer,omitempty"`
 }
 
 // exchangeReply holds the data of the source that the asking member lacks.
@@ -84,6 +92,9 @@
 	// coordinator. NotJoined is true if it cannot because it has not joined yet.
 	Leaving   bool `json:"leaving,omitempty"`
 	NotJoined bool `json:"not_joined,omitempty"`
+	// IsPartial is true if the listing and the list of members were left out because of
+	// their size. The asking member requests them by a transfer.
+	IsPartial bool `json:"partial,omitempty"`
 	// CatalogVersion is zero if the asking member's is as new. CatalogPatch holds the
 	// encoded patch to it if that is small.
 	CatalogVersion uint64 `json:"catalog,omitempty"`
@@ -107,6 +118,15 @@
 	Evidence []wireOpinion `json:"evidence"`
 }
 
+// WithoutLists returns the reply without the listing, the list of members and their
+// confirmations.
+func (re exchangeReply) WithoutLists() exchangeReply {
+	re.IsPartial = true
+	re.Listing, re.ListingMs = nil, 0
+	re.Members, re.MembersMs = nil, 0
+	return re
+}
+
 type listingSnapshot struct {
 	// Revision is the newest revision at which the listing changed.
 	Revision  uint64           `json:"revision"`
@@ -122,6 +142,8 @@
 	http *http.Client
 	// hasExchanged is true once the first exchange with the source has ended.
 	hasExchanged atomic.Bool
+	// isFetchingLists is true while this member requests lists by a transfer.
+	isFetchingLists atomic.Bool
 }
 
 func newPeers(me *Member) *peers {
@@ -163,8 +185,17 @@
 		qu.Opinions[pos].SampleMs = 0
 		ps.me.opinions.add(qu.Opinions[pos], now)
 	}
+	re := ps.me.makeReply(qu, now)
+	raw, err := json.Marshal(re)
+	if err == nil && len(raw) > maxReplyBytes && !qu.IsTransfer {
+		raw, err = json.Marshal(re.WithoutLists())
+	}
+	if err != nil {
+		http.Error(rw, err.Error(), http.StatusInternalServerError)
+		return
+	}
 	rw.Header().Set("Content-Type", "application/json")
-	_ = json.NewEncoder(rw).Encode(ps.me.makeReply(qu, now))
+	_, _ = rw.Write(raw)
 }
 
 // makeReply returns the data that the asking member lacks.
@@ -268,10 +299,7 @@
 	defer cancel()
 	me := ps.me
 	asked := me.deps.Now()
-	qu := exchangeQuery{
-		From: me.settings.Name, NotJoined: !me.roster.isJoined(), Catalog: me.catalog.Current().Version, Listing: me.listing().ContentRevision, Members: me.roster.knownRevision(),
-		Opinions: me.opinionsToSend(asked),
-	}
+	qu := me.makeQuery(asked)
 	var re exchangeReply
 	err := ps.post(ctx, "http://"+source.Address+exchangePath, qu, &re)
 	if parent.Err() != nil {
@@ -290,9 +318,47 @@
 	if re.CatalogVersion > me.catalog.Current().Version {
 		ps.fetchCatalog(context.WithoutCancel(ctx), source, re.CatalogVersion)
 	}
+	if re.IsPartial {
+		ps.fetchLists(context.WithoutCancel(ctx), source)
+	}
 	return true
 }
 
+// makeQuery returns the query of an exchange.
+func (me *Member) makeQuery(now time.Time) exchangeQuery {
+	return exchangeQuery{
+		From:      me.settings.Name,
+		NotJoined: !me.roster.isJoined(),
+		Catalog:   me.catalog.Current().Version,
+		Listing:   me.listing().ContentRevision,
+		Members:   me.roster.knownRevision(),
+		Opinions:  me.opinionsToSend(now),
+	}
+}
+
+// fetchLists requests the listing and the list of members from a member in the
+// background, unless a request is running.
+func (ps *peers) fetchLists(ctx context.Context, source entry) {
+	if !ps.isFetchingLists.CompareAndSwap(false, true) {
+		return
+	}
+	go func() {
+		defer ps.isFetchingLists.Store(false)
+		ctx, cancel := stall.WithTimeout(ctx, fetchTimeout, transferLimit, nil)
+		defer cancel()
+		asked := ps.me.deps.Now()
+		qu := ps.me.makeQuery(asked)
+		qu.IsTransfer = true
+		var re exchangeReply
+		if err := ps.post(ctx, "http://"+source.Address+exchangePath, qu, &re); err != nil {
+			event.Log(ps.me.log, event.ListsDelayed, "peer", source.Name, "took_ms", ps.me.deps.Now().Sub(asked).Milliseconds(),
+				"error", err.Error())
+			return
+		}
+		ps.me.applyReply(re, source.Name, asked)
+	}()
+}
+
 func (ps *peers) post(ctx context.Context, url string, body, out any) error {
 	raw, err := json.Marshal(body)
 	if err != nil {
@@ -310,7 +376,7 @@
 	if rs.StatusCode != http.StatusOK {
 		return errors.Newf("peer answered with HTTP status %d", rs.StatusCode)
 	}
-	return json.NewDecoder(io.LimitReader(rs.Body, maxExchangeBytes)).Decode(out)
+	return json.NewDecoder(io.LimitReader(stall.NewReader(ctx, rs.Body), maxExchangeBytes)).Decode(out)
 }
 
 // applyReply applies the reply of the named source. Ages are counted from the time of the query,
--- a/io/member/transfer_test.go
+++ b/io/member/transfer_test.go
@@ -1,9 +1,14 @@
 package member
 
 import (
+	"bytes"
 	"context"
+	"encoding/json"
+	"fmt"
 	"io"
 	"log/slog"
+	"net/http"
+	"net/http/httptest"
 	"sync/atomic"
 	"testing"
 	"testing/synctest"
@@ -12,6 +17,7 @@
 	"github.com/stretchr/testify/require"
 
 	"banyanspring/core/catlg"
+	"banyanspring/core/group"
 	"banyanspring/core/place"
 	"banyanspring/io/delay"
 	"banyanspring/io/stall"
@@ -209,3 +215,55 @@
 	_, hasSource := tm.roster.source()
 	require.True(t, hasSource)
 }
+
+// ask sends a query to a member's handler and returns the reply and its size in bytes.
+func (tm *testMember) ask(t *testing.T, qu exchangeQuery) (exchangeReply, int) {
+	t.Helper()
+	body, err := json.Marshal(qu)
+	require.NoError(t, err)
+	rec := httptest.NewRecorder()
+	tm.peers.handle(rec, httptest.NewRequest(http.MethodPost, exchangePath, bytes.NewReader(body)))
+	var re exchangeReply
+	size := rec.Body.Len()
+	require.NoError(t, json.Unmarshal(rec.Body.Bytes(), &re))
+	return re, size
+}
+
+// start_at_design_size: guards against sources that count as unreachable because their
+// replies, with the whole listing and list of members, do not arrive within the timeout of
+// an exchange.
+func TestLargeListsAreNotPartOfAnExchange(t *testing.T) {
+	const (
+		upstreams = 3900
+		members   = 790
+	)
+	source, asker := newTestMember(), newTestMember()
+	var ups []group.Upstream
+	for num := range upstreams {
+		ups = append(ups, group.Upstream{ID: fmt.Sprint("i", num), Group: fmt.Sprint("g", num/3), Address: "10.2.64.20:8323"})
+	}
+	source.updateView(func(group.View) group.View { return group.NewView(10, ups) })
+	source.listingAt.advance(source.now.Add(-time.Second))
+	var objs []Object
+	for num := range members {
+		objs = append(objs, memberObject(fmt.Sprint("m", num), uint64(num+1)))
+	}
+	source.roster.replace(objs, members)
+
+	re, size := source.ask(t, exchangeQuery{From: "m1"})
+	require.Less(t, size, maxReplyBytes)
+	require.True(t, re.IsPartial)
+	asker.applyReply(re, "source", asker.now)
+	require.False(t, asker.hasListing.Load())
+	require.True(t, asker.listingAt.load().IsZero(), "the listing has not been received")
+
+	re, _ = source.ask(t, exchangeQuery{From: "m1", IsTransfer: true})
+	require.False(t, re.IsPartial)
+	asker.applyReply(re, "source", asker.now)
+	require.Len(t, asker.listing().All(), upstreams)
+	require.Equal(t, source.names(), asker.names())
+	require.False(t, asker.listingAt.load().IsZero())
+
+	re, _ = source.ask(t, asker.makeQuery(asker.now))
+	require.False(t, re.IsPartial, "there is nothing more to send")
+}
