Wait for a configuration that this member or its source has requested

Change: data that arrives for a check counts as receiving, and so does a request to a peer. Test: TestRequestedConfigurationIsExpected, failed before on both.

--- a/io/member/feed.go
+++ b/io/member/feed.go
@@ -173,6 +173,8 @@
 	if !ps.me.feed.isFetching.CompareAndSwap(false, true) {
 		return
 	}
+	// The store is not read while the answer is on its way.
+	ps.me.recordReceiving()
 	go func() {
 		defer ps.me.feed.isFetching.Store(false)
 		me := ps.me
--- a/io/member/transfer_test.go
+++ b/io/member/transfer_test.go
@@ -7,8 +7,10 @@
 	"fmt"
 	"io"
 	"log/slog"
+	"net"
 	"net/http"
 	"net/http/httptest"
+	"sync"
 	"sync/atomic"
 	"testing"
 	"testing/synctest"
@@ -99,8 +101,10 @@
 	require.True(t, tm.catalogAt.load().After(confirmed))
 }
 
-// catalogStore is a store that holds one configuration and counts the calls for it.
+// catalogStore is a store that holds one configuration and counts the calls for it. It is
+// safe for concurrent use.
 type catalogStore struct {
+	mu sync.Mutex
 	// version is the configuration's, and changedAt is its revision.
 	version, changedAt uint64
 	// oldest is the revision from which changes are known.
@@ -108,12 +112,31 @@
 	reads, checks int
 }
 
+// set replaces the configuration.
+func (cs *catalogStore) set(version, changedAt, oldest uint64) {
+	cs.mu.Lock()
+	defer cs.mu.Unlock()
+	cs.version, cs.changedAt, cs.oldest = version, changedAt, oldest
+}
+
+// calls returns the numbers of reads and checks.
+func (cs *catalogStore) calls() (int, int) {
+	cs.mu.Lock()
+	defer cs.mu.Unlock()
+	return cs.reads, cs.checks
+}
+
 func (cs *catalogStore) load(context.Context) (*catlg.Catalog, uint64, error) {
+	cs.mu.Lock()
+	defer cs.mu.Unlock()
 	cs.reads++
 	return catlg.New(cs.version, time.Second, nil, nil), cs.changedAt, nil
 }
 
 func (cs *catalogStore) await(_ context.Context, since uint64, wait time.Duration) (*catlg.Catalog, uint64, error) {
+	time.Sleep(wait)
+	cs.mu.Lock()
+	defer cs.mu.Unlock()
 	cs.checks++
 	if since < cs.oldest {
 		return nil, since, ErrHistoryGone{}
@@ -121,7 +144,6 @@
 	if since < cs.changedAt {
 		return catlg.New(cs.version, time.Second, nil, nil), cs.changedAt, nil
 	}
-	time.Sleep(wait)
 	return nil, since, nil
 }
 
@@ -138,17 +160,19 @@
 		go me.watchCatalog(t.Context())
 		time.Sleep(30 * time.Second)
 		require.Equal(t, uint64(7), me.catalog.Current().Version)
-		require.Equal(t, 1, store.reads)
-		require.Greater(t, store.checks, 5)
+		reads, checks := store.calls()
+		require.Equal(t, 1, reads)
+		require.Greater(t, checks, 5)
 
 		// A change is found, also if the store no longer holds the changes since.
-		store.version, store.changedAt = 9, 80
+		store.set(9, 80, 0)
 		time.Sleep(5 * time.Second)
 		require.Equal(t, uint64(9), me.catalog.Current().Version)
-		store.version, store.changedAt, store.oldest = 12, 120, 100
+		store.set(12, 120, 100)
 		time.Sleep(5 * time.Second)
 		require.Equal(t, uint64(12), me.catalog.Current().Version)
-		require.Equal(t, 2, store.reads)
+		reads, _ = store.calls()
+		require.Equal(t, 2, reads)
 	})
 }
 
@@ -267,3 +291,27 @@
 	re, _ = source.ask(t, asker.makeQuery(asker.now))
 	require.False(t, re.IsPartial, "there is nothing more to send")
 }
+
+// Guards against members that read a large change from the store while their source does,
+// because it neither waits for a reply of a peer nor reads everything.
+func TestRequestedConfigurationIsExpected(t *testing.T) {
+	tm := newTestMember()
+	tm.deps.Store.AwaitCatalog = func(ctx context.Context, since uint64, _ time.Duration) (*catlg.Catalog, uint64, error) {
+		stall.Progress(ctx)
+		return nil, since, nil
+	}
+	_, err := tm.checkCatalog(t.Context(), 5)
+	require.NoError(t, err)
+	require.True(t, tm.makeReply(exchangeQuery{}, tm.now).IsReceiving)
+
+	tm.now = tm.now.Add(receivingFor)
+	require.False(t, tm.feed.isReceiving(tm.now))
+	tm.deps.Dial = func(ctx context.Context, _ string) (net.Conn, error) {
+		<-ctx.Done()
+		return nil, ctx.Err()
+	}
+	ctx, cancel := context.WithCancel(t.Context())
+	defer cancel()
+	tm.peers.fetchCatalog(ctx, entry{Name: "a", Address: "127.0.0.1:1"}, 9)
+	require.True(t, tm.feed.isExpected(tm.now))
+}
--- a/io/member/watch.go
+++ b/io/member/watch.go
@@ -183,26 +183,11 @@
 		}
 		return since, err
 	}
-	await := func(ctx context.Context, since uint64, wait time.Duration) (bool, uint64, error) {
-		ca, since, err := me.deps.Store.AwaitCatalog(ctx, since, wait)
-		if err == nil && ca != nil {
-			me.adoptCatalog(ca, fromStore)
-		}
-		return ca != nil, since, err
-	}
 	sw.await = func(ctx context.Context, since uint64) (uint64, error) {
-		_, next, err := await(ctx, since, me.settings.ApplyBound*watchPercent/100)
-		return next, err
-	}
-	sw.check = func(ctx context.Context, since uint64) (uint64, error) {
-		hasChanged, next, err := await(ctx, since, checkWait)
-		if !hasChanged {
-			// A store that is about to drop its history may hold back a change. The next
-			// check then finds it, or is told that the history is gone.
-			next = since
-		}
+		_, next, err := me.awaitCatalog(ctx, since, me.settings.ApplyBound*watchPercent/100)
 		return next, err
 	}
+	sw.check = me.checkCatalog
 	sw.run(ctx)
 }
 
@@ -212,6 +197,33 @@
 	return me.deps.Store.LoadCatalog(ctx)
 }
 
+// awaitCatalog waits for a newer configuration and activates it. It reports whether one
+// came, and the revision to wait from next.
+func (me *Member) awaitCatalog(ctx context.Context, since uint64, wait time.Duration) (bool, uint64, error) {
+	ca, next, err := me.deps.Store.AwaitCatalog(ctx, since, wait)
+	if err != nil {
+		return false, since, err
+	}
+	if ca != nil {
+		me.adoptCatalog(ca, fromStore)
+	}
+	return ca != nil, next, nil
+}
+
+// checkCatalog activates a configuration that is newer than the one at the revision, and
+// returns the revision to check from next.
+func (me *Member) checkCatalog(ctx context.Context, since uint64) (uint64, error) {
+	ctx, cancel := stall.WithTimeout(ctx, transferLimit, transferLimit, me.recordReceiving)
+	defer cancel()
+	hasChanged, next, err := me.awaitCatalog(ctx, since, checkWait)
+	if !hasChanged {
+		// A store that is about to drop its history may hold back a change. The next check
+		// then finds it, or is told that the history is gone.
+		return since, err
+	}
+	return next, err
+}
+
 // fromStore names the store in log lines, as the origin of a configuration.
 const fromStore = "store"
 
