Leave lists out of a reply for their own size only

The bound was on the whole reply, which also carries evidence on each group: 1,300 groups have some 90 KB, so that each exchange of a deployment of that size would have ended in a transfer without anything to transfer. Change: the listing and the list of members alone are measured. Test: TestEvidenceOnManyGroupsIsNoReasonForATransfer.

--- a/io/member/peer.go
+++ b/io/member/peer.go
@@ -38,10 +38,10 @@
 	exchangeTimeout = 250 * time.Millisecond
 	// maxExchangeBytes bounds the body of a query or reply, in bytes.
 	maxExchangeBytes = 8 << 20
-	// maxReplyBytes is the size up to which a reply holds the listing and the list of
-	// members. Many members share their source's link, and an exchange must be answered
+	// maxListBytes is the size up to which the listing and the list of members are part of
+	// a reply. Many members share their source's link, and an exchange must be answered
 	// within exchangeTimeout.
-	maxReplyBytes = 16 << 10
+	maxListBytes = 16 << 10
 )
 
 // wireOpinion is one member's opinion of a group's leader, or evidence on it, on
@@ -118,6 +118,16 @@
 	Evidence []wireOpinion `json:"evidence"`
 }
 
+// hasLargeLists reports whether the listing and the list of members have more than
+// maxListBytes.
+func (re exchangeReply) hasLargeLists() bool {
+	if re.Listing == nil && re.Members == nil {
+		return false
+	}
+	raw, err := json.Marshal(exchangeReply{Listing: re.Listing, Members: re.Members})
+	return err == nil && len(raw) > maxListBytes
+}
+
 // WithoutLists returns the reply without the listing, the list of members and their
 // confirmations.
 func (re exchangeReply) WithoutLists() exchangeReply {
@@ -186,16 +196,11 @@
 		ps.me.opinions.add(qu.Opinions[pos], now)
 	}
 	re := ps.me.makeReply(qu, now)
-	raw, err := json.Marshal(re)
-	if err == nil && len(raw) > maxReplyBytes && !qu.IsTransfer {
-		raw, err = json.Marshal(re.WithoutLists())
-	}
-	if err != nil {
-		http.Error(rw, err.Error(), http.StatusInternalServerError)
-		return
+	if !qu.IsTransfer && re.hasLargeLists() {
+		re = re.WithoutLists()
 	}
 	rw.Header().Set("Content-Type", "application/json")
-	_, _ = rw.Write(raw)
+	_ = json.NewEncoder(rw).Encode(re)
 }
 
 // makeReply returns the data that the asking member lacks.
