Read the configuration when the store no longer knows the changes, also beside a transfer

The coordinator is cut from the store, the others check, and a compaction has dropped the history (410). The answer itself counted as data of a configuration that arrives, so the instance waited half a second, forgot in the meantime that it must read everything, and checked again, until the next change. Ruled out: a change that the watch does not report; document_read lines are missing between 8.4 s and 13.8 s, and the checks say that the history is gone. Change: that everything must be read holds until a read succeeds, and data counts as arriving only while the call is under way.

--- a/io/member/feed.go
+++ b/io/member/feed.go
@@ -46,8 +46,8 @@
 	announcedAt time.Time
 	// isFetching is true while this member requests a patch.
 	isFetching atomic.Bool
-	// receivedAt is when data of a configuration last arrived, and sourceReceivedAt is
-	// when the source last said that it was receiving one.
+	// receivedAt is when data of a configuration last arrived by a transfer under way, and
+	// sourceReceivedAt is when the source last said that it was receiving one.
 	receivedAt, sourceReceivedAt instant
 }
 
@@ -64,6 +64,10 @@
 	return !at.IsZero() && now.Sub(at) < receivingFor
 }
 
+// endReceiving records that a transfer has ended. Another one that is under way is seen
+// again when its next data arrives.
+func (cf *catalogFeed) endReceiving() { cf.receivedAt.reset() }
+
 // isExpected reports whether a configuration will arrive from the source: this member or
 // its source is receiving one.
 func (cf *catalogFeed) isExpected(now time.Time) bool {
@@ -177,6 +181,7 @@
 	ps.me.recordReceiving()
 	go func() {
 		defer ps.me.feed.isFetching.Store(false)
+		defer ps.me.feed.endReceiving()
 		me := ps.me
 		ctx, cancel := stall.WithTimeout(ctx, fetchTimeout, transferLimit, me.recordReceiving)
 		defer cancel()
--- a/io/member/opinions.go
+++ b/io/member/opinions.go
@@ -179,5 +179,8 @@
 	}
 }
 
+// reset makes the time one that was never set.
+func (in *instant) reset() { in.ns.Store(0) }
+
 // setOnce sets the time if it was never set.
 func (in *instant) setOnce(at time.Time) { in.ns.CompareAndSwap(0, at.UnixNano()) }
--- a/io/member/watch.go
+++ b/io/member/watch.go
@@ -24,7 +24,8 @@
 	// since is the store's revision up to which the local state is complete; 0 if that is
 	// not known.
 	since *revision
-	// mustRead is true if the next call must read everything.
+	// mustRead is true if the next call must read everything. Without check, it is while
+	// others keep the state up to date; else until a read succeeds.
 	mustRead bool
 	// read reads everything and returns the revision to wait from.
 	read func(ctx context.Context) (uint64, error)
@@ -69,7 +70,7 @@
 		asked := sw.me.deps.Now()
 		isCoordinator := sw.me.roster.isCoordinator()
 		if !isCoordinator && sw.isFresh(asked) {
-			sw.mustRead = sw.check == nil
+			sw.mustRead = sw.mustRead || sw.check == nil
 			delay.Pause(ctx, sw.pollPause())
 			continue
 		}
@@ -194,6 +195,7 @@
 func (me *Member) loadCatalog(ctx context.Context) (*catlg.Catalog, uint64, error) {
 	ctx, cancel := stall.WithTimeout(ctx, callTimeout, transferLimit, me.recordReceiving)
 	defer cancel()
+	defer me.feed.endReceiving()
 	return me.deps.Store.LoadCatalog(ctx)
 }
 
@@ -215,6 +217,7 @@
 func (me *Member) checkCatalog(ctx context.Context, since uint64) (uint64, error) {
 	ctx, cancel := stall.WithTimeout(ctx, transferLimit, transferLimit, me.recordReceiving)
 	defer cancel()
+	defer me.feed.endReceiving()
 	hasChanged, next, err := me.awaitCatalog(ctx, since, checkWait)
 	if !hasChanged {
 		// A store that is about to drop its history may hold back a change. The next check
