--- a/review/standin/joining.go
+++ b/review/standin/joining.go
@@ -18,8 +18,8 @@
 }
 
 const (
-	rollingServices = 16
-	rollingRounds   = 3
+	rollingServices = 20
+	rollingRounds   = 4
 	// roundTime is the time between two rounds.
 	roundTime = 17.0
 	// aheadTime is how long before an old database leaves the new one starts.
