Log each step of a change of leader with the upstreams' answers

Events 317 change_step (survey, freeze, catch_up, unfreeze, each with all answers) and 318 appoint_answered. No decision changes.

--- a/core/event/event.go
+++ b/core/event/event.go
@@ -48,6 +48,8 @@
 	HandoverDone     ID = 314
 	TermLearned      ID = 315
 	ReplicasThawed   ID = 316
+	ChangeStep       ID = 317
+	AppointAnswered  ID = 318
 
 	PeerUnreached  ID = 401
 	PeerLeaving    ID = 403
@@ -121,6 +123,8 @@
 	{TermLearned, slog.LevelInfo, "term_learned", "The daemon learned a newer term from an upstream, a peer or a change of primary; the event names the term and its primary."},
 
 	{ReplicasThawed, slog.LevelWarn, "replicas_thawed", "The coordinator unfreezes replicas that a change of primary left frozen, so that they receive the log again."},
+	{ChangeStep, slog.LevelInfo, "change_step", "One step of a change of primary: which upstreams were asked or ordered, what each answered, and why the step is safe or necessary."},
+	{AppointAnswered, slog.LevelInfo, "appoint_answered", "The platform answered a call that appoints a primary, or did not; the event names the candidate, the fencing token and the error. A call without an answer may still be carried out."},
 
 	{PeerUnreached, slog.LevelWarn, "peer_unreached", "The daemon cannot reach another daemon. Check that the other daemon is running and that the network allows connections to it."},
 	{PeerLeaving, slog.LevelInfo, "peer_leaving", "Another daemon announced that it is shutting down."},
--- a/io/member/appointments.go
+++ b/io/member/appointments.go
@@ -7,6 +7,7 @@
 	"github.com/cockroachdb/errors"
 
 	"banyanspring/core/elect"
+	"banyanspring/core/event"
 	"banyanspring/core/group"
 )
 
@@ -91,6 +92,7 @@
 	err := mo.me.deps.Appoint(ctx, Appointment{
 		Group: mo.name, Upstream: id, Holder: mo.me.settings.Name, Token: token,
 	})
+	event.Log(mo.me.log, event.AppointAnswered, "group", mo.name, "candidate", id, "token", token, "error", errorText(err))
 	if err == nil || IsErrAppointDeferred(err) {
 		return err
 	}
@@ -138,6 +140,6 @@
 // that relies on the freeze may be in flight.
 func (mo *monitor) unfreezeUnlessPending(frozen []group.Upstream) {
 	if mo.currentAppointments().pendingCandidate == "" {
-		mo.unfreeze(frozen)
+		mo.unfreeze(frozen, "the change was abandoned and no call relies on the freeze")
 	}
 }
--- a/io/member/leader_change.go
+++ b/io/member/leader_change.go
@@ -70,6 +70,7 @@
 	}
 	replicas := upstreamsExcept(vi.Members(mo.name), leader)
 	statuses := mo.runOnAll(replicas, func(co *pool.Conn, deadline time.Time) (pool.Report, error) { return co.Status(deadline) })
+	mo.logStep("survey", "leader "+leader+" is to be replaced: "+string(reason), statuses)
 	if err := mo.currentAppointments().checkReplicas(statuses, reason); err != nil {
 		return "", err
 	}
@@ -82,6 +83,7 @@
 	reports := mo.runOnAll(frozen, func(co *pool.Conn, deadline time.Time) (pool.Report, error) {
 		return co.Freeze(term+1, deadline)
 	})
+	mo.logStep("freeze", "only candidate "+candidate.ID+" may receive more", reports)
 	states := mo.replicaStates(frozen, reports)
 	err := mo.awaitCatchUp(ctx, vi, candidate, states, term)
 	if err != nil && errors.Is(err, errBehind) && mo.currentAppointments().pendingCandidate == "" {
@@ -124,7 +126,9 @@
 func (mo *monitor) freezeAll(vi group.View, candidate elect.Replica, states []elect.Replica, term uint64) (elect.Replica, error) {
 	up, _ := vi.GetUpstreamByID(candidate.ID)
 	res := mo.runOn(up, orderTimeout, func(co *pool.Conn, deadline time.Time) (pool.Report, error) { return co.Freeze(term+1, deadline) })
-	states = append(states, mo.replicaStates([]group.Upstream{up}, map[string]orderResult{up.ID: res})...)
+	reports := map[string]orderResult{up.ID: res}
+	mo.logStep("freeze", "the candidate is behind a frozen replica", reports)
+	states = append(states, mo.replicaStates([]group.Upstream{up}, reports)...)
 	best, ok := elect.ChooseCandidate(states)
 	if !ok {
 		return candidate, errNoCandidate
@@ -221,6 +225,7 @@
 	obstacle := elect.NoObstacle
 	for range catchUpTries {
 		res := mo.runOn(up, orderTimeout, status)
+		mo.logStep("catch_up", "the candidate must have received what the frozen replicas have", map[string]orderResult{up.ID: res})
 		if res.err != nil {
 			return errors.Wrap(res.err, "get status of candidate")
 		}
@@ -271,8 +276,9 @@
 // unfreeze unfreezes replicas after an abandoned change. If an order fails, the replica
 // may still be frozen, or be unfrozen late: unfreeze schedules a check for frozen
 // replicas and sets lateUnfreezeUntil, which defers some new changes.
-func (mo *monitor) unfreeze(frozen []group.Upstream) {
+func (mo *monitor) unfreeze(frozen []group.Upstream, why string) {
 	results := mo.runOnAll(frozen, func(co *pool.Conn, deadline time.Time) (pool.Report, error) { return co.Unfreeze(deadline) })
+	mo.logStep("unfreeze", why, results)
 	for _, res := range results {
 		if res.err != nil {
 			now := mo.me.deps.Now()
@@ -301,7 +307,7 @@
 	}
 	if len(frozen) > 0 {
 		event.Log(mo.me.log, event.ReplicasThawed, "group", mo.name, "replicas", len(frozen), "leader", leader)
-		mo.unfreeze(frozen)
+		mo.unfreeze(frozen, "no call of an earlier coordinator can be carried out any more")
 	}
 	mo.mu.Lock()
 	defer mo.mu.Unlock()
