Say more about an upstream that is refused or stopped

A change of leader must know whether an upstream's process has ended, and whether it led when it was ordered to step down. The refusal of a connection did not tell a refused one from a timeout, nor another upstream at the address from a pool that was closed here. The report after a step-down does not say whether the upstream led before: one that was replaced meanwhile answers alike.

Refusals of connections are marked (ErrConnectionRefused, ErrOtherUpstream). StepDown asks for a report first, on the same connection, and returns the term that was led until then.

--- a/io/pool/control.go
+++ b/io/pool/control.go
@@ -23,6 +23,9 @@
 	FrozenTerm uint64
 	// Lag is the upstream's own estimate of its replication delay.
 	Lag time.Duration
+	// LedTerm is the term that the upstream claimed to lead immediately before it was
+	// ordered to step down; 0 if it did not lead. Only StepDown sets it.
+	LedTerm uint64
 }
 
 // Lease returns the report in the form that confirms a leader.
@@ -64,7 +67,15 @@
 
 // StepDown makes a leader of a lower term a replica and returns its report.
 func (co *Conn) StepDown(term uint64, deadline time.Time) (Report, error) {
-	return co.runControl(co.pool.deps.AppendStepDown(co.buf[:0], term), deadline)
+	before, err := co.Status(deadline)
+	if err != nil {
+		return Report{}, err
+	}
+	re, err := co.runControl(co.pool.deps.AppendStepDown(co.buf[:0], term), deadline)
+	if before.ClaimsLead {
+		re.LedTerm = before.Term
+	}
+	return re, err
 }
 
 func (co *Conn) runControl(buf []byte, deadline time.Time) (Report, error) {
--- a/io/pool/dial.go
+++ b/io/pool/dial.go
@@ -3,8 +3,10 @@
 import (
 	"context"
 	"net"
+	"syscall"
 	"time"
 
+	"github.com/cockroachdb/errors"
 	"golang.org/x/sys/unix"
 
 	"banyanspring/core/codes"
@@ -138,6 +140,14 @@
 	}
 }
 
+// ErrConnectionRefused marks the refusal of a request for a connection if nothing listens
+// at the upstream's address.
+var ErrConnectionRefused = errors.New("connection refused")
+
+// ErrOtherUpstream marks the refusal of a request for a connection if another upstream
+// answers at the address.
+var ErrOtherUpstream = errors.New("another upstream answers at the address")
+
 // dial opens a connection and checks that the expected upstream answers.
 func (po *Pool) dial() (*Conn, error) {
 	wait := po.settings.ConnectTimeout
@@ -146,7 +156,11 @@
 	startedAt := po.deps.Now()
 	raw, err := po.deps.Dial(ctx, po.upstream.Address)
 	if err != nil {
-		return nil, codes.Refuse(codes.UpstreamUnreached, "%v", err)
+		ref := codes.Refuse(codes.UpstreamUnreached, "%v", err)
+		if errors.Is(err, syscall.ECONNREFUSED) {
+			return nil, errors.Mark(ref, ErrConnectionRefused)
+		}
+		return nil, ref
 	}
 	po.recordConnectTime(po.deps.Now().Sub(startedAt))
 	setUserTimeout(raw, po.settings.ConnectTimeout)
@@ -158,7 +172,11 @@
 	}
 	if res.Code != codes.OK {
 		_ = raw.Close()
-		return nil, codes.Refuse(res.Code, "%s", res.Detail)
+		ref := codes.Refuse(res.Code, "%s", res.Detail)
+		if res.Code == codes.UpstreamReplaced {
+			return nil, errors.Mark(ref, ErrOtherUpstream)
+		}
+		return nil, ref
 	}
 	return co, nil
 }
--- a/io/pool/pool.go
+++ b/io/pool/pool.go
@@ -200,6 +200,9 @@
 	return po.acquireRelayed(cr, address)
 }
 
+// HasQuota reports whether this instance may have connections of its own.
+func (po *Pool) HasQuota() bool { return po.currentShare().Quota > 0 }
+
 // item returns the queue item for the request.
 func (po *Pool) item(cr ConnRequest) admit.Item {
 	return admit.Item{Caller: cr.Caller, Weight: 1, Limit: po.settings.Waiting, SoftDeadline: cr.SoftDeadline, Deadline: cr.QueueDeadline}
