--- a/core/elect/elect.go
+++ b/core/elect/elect.go
@@ -2,23 +2,19 @@
 // groups that acknowledge a write once a replica has received it. It does no I/O
 // and reads no clock.
 //
-// A change of leader is safe if the candidate's log contains every write that was
-// or may still be acknowledged. Therefore all replicas but the candidate are
-// frozen first, that is, ordered to stop receiving the leader's log: from then on
-// the old leader can acknowledge only writes that the candidate receives. The
-// candidate is promoted once it has received at least as much as each frozen
-// replica. A replica that does not answer may be the only one with an acknowledged
-// write, and blocks the change for as long as the platform lists it.
+// A change of leader is safe if the log of the new leader contains every write that
+// was or may still be acknowledged. There are two proofs. If the old leader confirms
+// that it has stopped, its log bounds what was acknowledged. Otherwise all upstreams
+// through which it may acknowledge are frozen, that is, ordered to stop receiving its
+// log, and the most advanced of them bounds it. One that does not answer may be the
+// only one with an acknowledged write, and blocks the change until it is known to have
+// ended.
 //
 // One instance at a time, the coordinator, monitors the leaders and changes them.
 // The other instances send it their opinions.
 package elect
 
-import (
-	"time"
-
-	"banyanspring/core/posn"
-)
+import "time"
 
 // Opinion is one instance's observation of a group's leader.
 type Opinion struct {
@@ -195,85 +191,3 @@
 	}
 	return right
 }
-
-// Replica is the state of one replica during a change of leader.
-type Replica struct {
-	ID string
-	// Answered is true if Received and Term were reported during this change.
-	Answered bool
-	Leaving  bool
-	// Listed is false if the platform no longer lists the replica; its log is then
-	// gone too.
-	Listed bool
-	// Received is the highest position that the replica has received.
-	Received posn.Position
-	// Term is the number of the newest term that the replica has seen.
-	Term uint64
-	// Preference breaks ties between replicas with the same received position; the
-	// higher value wins.
-	Preference int
-}
-
-// ChooseCandidate returns the replica to promote: the one with the highest received
-// position among those that answered, are listed and are not leaving. It reports
-// false if there is none.
-func ChooseCandidate(reps []Replica) (Replica, bool) {
-	var best Replica
-	found := false
-	for _, re := range reps {
-		if !re.Answered || re.Leaving || !re.Listed {
-			continue
-		}
-		ord := re.Received.Compare(best.Received)
-		if !found || ord > 0 || (ord == 0 && re.Preference > best.Preference) {
-			best, found = re, true
-		}
-	}
-	return best, found
-}
-
-// Obstacle is why a candidate must not be promoted.
-type Obstacle string
-
-// Obstacles to a promotion.
-const (
-	// NoObstacle means that there is no obstacle.
-	NoObstacle Obstacle = ""
-	// Unanswered means that a listed replica did not answer; it may be the only one
-	// with an acknowledged write.
-	Unanswered Obstacle = "a replica did not answer"
-	// Behind means that a frozen replica has received more than the candidate.
-	Behind Obstacle = "the candidate is behind a frozen replica"
-	// TermChanged means that a replica has seen a higher term: the leader was changed
-	// concurrently.
-	TermChanged Obstacle = "a replica has seen a higher term"
-)
-
-// CheckCandidate returns the obstacle to promoting the candidate in place of the leader of
-// term, or NoObstacle. The others are the replicas that were ordered to freeze, with
-// their answers if any. The candidate's report must have been requested after the
-// others answered. Replicas that did not answer and are no longer listed are no
-// obstacle, since their logs are gone.
-func CheckCandidate(candidate Replica, others []Replica, term uint64) Obstacle {
-	for _, re := range others {
-		if re.ID == candidate.ID {
-			continue
-		}
-		if !re.Answered {
-			if re.Listed {
-				return Unanswered
-			}
-			continue
-		}
-		if re.Term > term {
-			return TermChanged
-		}
-		if re.Received.Compare(candidate.Received) > 0 {
-			return Behind
-		}
-	}
-	if candidate.Term > term {
-		return TermChanged
-	}
-	return NoObstacle
-}
--- a/core/elect/elect_test.go
+++ b/core/elect/elect_test.go
@@ -5,8 +5,6 @@
 	"time"
 
 	"github.com/stretchr/testify/require"
-
-	"banyanspring/core/posn"
 )
 
 var (
@@ -23,10 +21,6 @@
 
 func after(span time.Duration) time.Time { return start.Add(span) }
 
-func at(term, offset uint64) posn.Position {
-	return posn.Position{Term: posn.Term{Number: term}, Offset: offset}
-}
-
 func TestSilentLeaderIsDeadUnlessAnotherInstanceHeardIt(t *testing.T) {
 	ev := Evidence{IsListed: true, HeardAt: start}
 	require.Equal(t, None, ReplacementReason(ev, "a", timing, after(600*time.Millisecond)))
@@ -93,28 +87,3 @@
 	ev := Evidence{IsListed: true, HeardAt: now, Opinions: []Opinion{{Leader: "a", ReceivedAt: start, UnreachedSince: start, StalledWrites: 5}}}
 	require.Equal(t, None, ReplacementReason(ev, "a", timing, now))
 }
-
-func TestMostAdvancedStayingReplicaIsChosen(t *testing.T) {
-	reps := []Replica{
-		{ID: "leaving", Answered: true, Listed: true, Leaving: true, Received: at(1, 30)},
-		{ID: "far", Answered: true, Listed: true, Received: at(1, 20)},
-		{ID: "near", Answered: true, Listed: true, Received: at(1, 20), Preference: 1},
-		{ID: "silent", Listed: true, Received: at(1, 40)},
-	}
-	got, ok := ChooseCandidate(reps)
-	require.True(t, ok)
-	require.Equal(t, "near", got.ID)
-	_, ok = ChooseCandidate(reps[:1])
-	require.False(t, ok)
-}
-
-func TestPromotionWaitsForPossiblyAcknowledgedWrites(t *testing.T) {
-	candidate := Replica{ID: "c", Answered: true, Listed: true, Received: at(1, 20), Term: 1}
-	frozen := func(rep Replica) []Replica { return []Replica{candidate, rep} }
-	require.Equal(t, NoObstacle, CheckCandidate(candidate, frozen(Replica{ID: "d", Answered: true, Listed: true, Received: at(1, 20), Term: 1}), 1))
-	require.Equal(t, Behind, CheckCandidate(candidate, frozen(Replica{ID: "d", Answered: true, Listed: true, Received: at(1, 21), Term: 1}), 1))
-	require.Equal(t, Behind, CheckCandidate(candidate, frozen(Replica{ID: "d", Answered: true, Leaving: true, Listed: true, Received: at(1, 21)}), 1))
-	require.Equal(t, Unanswered, CheckCandidate(candidate, frozen(Replica{ID: "d", Listed: true}), 1))
-	require.Equal(t, NoObstacle, CheckCandidate(candidate, frozen(Replica{ID: "d"}), 1))
-	require.Equal(t, TermChanged, CheckCandidate(candidate, frozen(Replica{ID: "d", Answered: true, Listed: true, Term: 2}), 1))
-}
--- /dev/null
+++ b/core/elect/proof.go
@@ -0,0 +1,200 @@
+package elect
+
+import (
+	"cmp"
+	"slices"
+
+	"banyanspring/core/posn"
+)
+
+// Replica is what the coordinator knows of one upstream during a change of leader.
+type Replica struct {
+	ID string
+	// Answered is true if Received, Term, ClaimsLead and IsFrozen were reported after the
+	// last order of this change.
+	Answered bool
+	// ClaimsLead is true if the upstream claims to be a leader.
+	ClaimsLead bool
+	// IsFrozen is true if the upstream has stopped receiving the log.
+	IsFrozen bool
+	// IsLeaving is true if the upstream is shutting down, and IsListed is false if the
+	// platform does not list it.
+	IsLeaving, IsListed bool
+	// HasEnded is true if the upstream's process has ended, so that its log is gone.
+	HasEnded bool
+	// Bound is a position that the leader reported after the upstream had ended: no write
+	// beyond it was acknowledged because of the upstream. It is used only if HasBound is
+	// true.
+	Bound    posn.Position
+	HasBound bool
+	// Received is the highest position that the upstream has received.
+	Received posn.Position
+	// Term is the number of the newest term that the upstream has seen.
+	Term uint64
+	// Preference breaks ties between upstreams that hold all acknowledged writes; the
+	// higher value wins.
+	Preference int
+}
+
+// Change is the state of a change of leader. Its members are the leader that is to be
+// replaced and all upstreams through which that leader may have acknowledged writes:
+// listed or not, leaving or not.
+type Change struct {
+	// Term is the term of the leader that is to be replaced.
+	Term uint64
+	// Leader is the leader that is to be replaced.
+	Leader Replica
+	// IsStopped is true if Leader led Term and has confirmed that it leads no more.
+	IsStopped bool
+	// Replicas holds the other members.
+	Replicas []Replica
+}
+
+// Obstacle is why no upstream may be appointed.
+type Obstacle string
+
+// Obstacles to an appointment.
+const (
+	// NoObstacle means that there is no obstacle.
+	NoObstacle Obstacle = ""
+	// Unanswered means that a member through which writes may have been acknowledged did
+	// not answer, or ended without a known bound.
+	Unanswered Obstacle = "a replica that may hold acknowledged writes did not answer"
+	// Unfrozen means that a replica may still receive the log of a leader that has not
+	// stopped.
+	Unfrozen Obstacle = "a replica is not frozen although the leader has not stopped"
+	// Behind means that no upstream that answered holds all writes that may have been
+	// acknowledged.
+	Behind Obstacle = "no replica holds all writes that may have been acknowledged"
+	// TermChanged means that an upstream has seen a higher term: the leader was changed
+	// concurrently.
+	TermChanged Obstacle = "a replica has seen a higher term"
+	// OtherLeads means that another upstream than the one to be replaced leads.
+	OtherLeads Obstacle = "another upstream than the one to be replaced leads"
+)
+
+// Candidates returns the upstreams that may be appointed, the best first, or why there
+// is none. Staying replicas come first, then the old leader, then replicas that are
+// leaving or not listed: those can be replaced once another one has caught up.
+func (ch Change) Candidates() ([]Replica, Obstacle) {
+	if obstacle := ch.concurrentChange(); obstacle != NoObstacle {
+		return nil, obstacle
+	}
+	minimum, obstacle := ch.minimumPosition()
+	if obstacle != NoObstacle {
+		return nil, obstacle
+	}
+	var out []Replica
+	for _, re := range ch.receivers() {
+		if re.Answered && re.Received.Compare(minimum) >= 0 {
+			out = append(out, re)
+		}
+	}
+	if ch.isLeaderLogComplete() {
+		out = append(out, ch.Leader)
+	}
+	if len(out) == 0 {
+		return nil, Behind
+	}
+	slices.SortFunc(out, func(left, right Replica) int {
+		return cmp.Or(cmp.Compare(ch.tier(left), ch.tier(right)), right.Received.Compare(left.Received),
+			cmp.Compare(right.Preference, left.Preference), cmp.Compare(left.ID, right.ID))
+	})
+	return out, NoObstacle
+}
+
+// IsStaying reports whether the upstream is a replica that is listed and not leaving.
+func (ch Change) IsStaying(re Replica) bool { return ch.tier(re) == 0 }
+
+func (ch Change) tier(re Replica) int {
+	isStaying := re.IsListed && !re.IsLeaving
+	switch {
+	case isStaying && re.ID != ch.Leader.ID:
+		return 0
+	case isStaying:
+		return 1
+	case re.ID != ch.Leader.ID:
+		return 2
+	}
+	return 3
+}
+
+// concurrentChange returns the obstacle if the leader was changed by another coordinator.
+func (ch Change) concurrentChange() Obstacle {
+	for _, re := range ch.Replicas {
+		switch {
+		case !re.Answered:
+		case re.ClaimsLead && re.Term >= ch.Term:
+			return OtherLeads
+		case re.Term > ch.Term:
+			return TermChanged
+		}
+	}
+	if ch.Leader.Answered && ch.Leader.Term > ch.Term {
+		return TermChanged
+	}
+	return NoObstacle
+}
+
+// minimumPosition returns the position up to which a new leader must have received the
+// log. Either the log of a leader that has stopped bounds what was acknowledged, or the
+// logs of all replicas do, which receive nothing more.
+func (ch Change) minimumPosition() (posn.Position, Obstacle) {
+	minimum, obstacle := ch.receivedByReplicas()
+	if !ch.isLeaderLogComplete() {
+		return minimum, obstacle
+	}
+	if obstacle != NoObstacle || ch.Leader.Received.Compare(minimum) < 0 {
+		return ch.Leader.Received, NoObstacle
+	}
+	return minimum, NoObstacle
+}
+
+// isLeaderLogComplete reports whether the leader's log holds all acknowledged writes and
+// will hold all that are acknowledged before the appointment. A leader that is behind a
+// replica has restarted without its log.
+func (ch Change) isLeaderLogComplete() bool {
+	if !ch.IsStopped || !ch.Leader.Answered {
+		return false
+	}
+	return !slices.ContainsFunc(ch.Replicas, func(re Replica) bool {
+		return re.Answered && re.Received.Compare(ch.Leader.Received) > 0
+	})
+}
+
+// hasLeaderResigned reports whether the upstream to be replaced answers that it does not
+// lead, although it was not stopped for this change. Another coordinator may have stopped it,
+// or replaced it by an upstream that is not known here.
+func (ch Change) hasLeaderResigned() bool {
+	return ch.Leader.Answered && !ch.Leader.ClaimsLead && !ch.IsStopped && ch.Leader.Term == ch.Term
+}
+
+// receivers returns the members that may receive the log of a leader of Term.
+func (ch Change) receivers() []Replica {
+	if ch.hasLeaderResigned() {
+		return append(slices.Clone(ch.Replicas), ch.Leader)
+	}
+	return ch.Replicas
+}
+
+// receivedByReplicas returns the highest position that a replica has received or may have
+// received before it ended, or why that is not known. Once the upstream that led answers as
+// a replica, the log of the leader of Term is among those that answered or is gone, so that
+// ended replicas held nothing else.
+func (ch Change) receivedByReplicas() (posn.Position, Obstacle) {
+	var highest posn.Position
+	for _, re := range ch.receivers() {
+		switch {
+		case re.Answered && re.IsFrozen:
+			highest = highest.Max(re.Received)
+		case re.Answered:
+			return highest, Unfrozen
+		case re.HasEnded && re.HasBound:
+			highest = highest.Max(re.Bound)
+		case re.HasEnded && ch.hasLeaderResigned():
+		default:
+			return highest, Unanswered
+		}
+	}
+	return highest, NoObstacle
+}
--- /dev/null
+++ b/core/elect/proof_test.go
@@ -0,0 +1,173 @@
+package elect
+
+import (
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	"banyanspring/core/posn"
+)
+
+func at(term, offset uint64) posn.Position {
+	return posn.Position{Term: posn.Term{Number: term}, Offset: offset}
+}
+
+// received returns a listed replica that answered in term 1 and is not frozen.
+func received(id string, offset uint64) Replica {
+	return Replica{ID: id, Answered: true, IsListed: true, Received: at(1, offset), Term: 1}
+}
+
+func frozen(id string, offset uint64) Replica {
+	re := received(id, offset)
+	re.IsFrozen = true
+	return re
+}
+
+func leaving(re Replica) Replica {
+	re.IsLeaving = true
+	return re
+}
+
+func unlisted(re Replica) Replica {
+	re.IsListed = false
+	return re
+}
+
+// stopped returns a change of a leader in term 1 that has stopped at the offset.
+func stopped(offset uint64, reps ...Replica) Change {
+	return Change{Term: 1, Leader: received("old", offset), IsStopped: true, Replicas: reps}
+}
+
+// silent returns a change of a leader in term 1 that does not answer.
+func silent(reps ...Replica) Change {
+	return Change{Term: 1, Leader: Replica{ID: "old", IsListed: true}, Replicas: reps}
+}
+
+func requireCandidates(t *testing.T, ch Change, ids ...string) {
+	t.Helper()
+	got, obstacle := ch.Candidates()
+	require.Equal(t, NoObstacle, obstacle)
+	var names []string
+	for _, re := range got {
+		names = append(names, re.ID)
+	}
+	require.Equal(t, ids, names)
+}
+
+func requireObstacle(t *testing.T, want Obstacle, ch Change) {
+	t.Helper()
+	got, obstacle := ch.Candidates()
+	require.Equal(t, want, obstacle)
+	require.Empty(t, got)
+}
+
+func TestLogOfAStoppedLeaderBoundsWhatWasAcknowledged(t *testing.T) {
+	requireCandidates(t, stopped(20, received("a", 20), received("b", 19), Replica{ID: "c", IsListed: true}), "a", "old")
+	requireCandidates(t, stopped(20, received("a", 19)), "old")
+}
+
+// A leader that answers but has not stopped may acknowledge more at any time.
+func TestLeaderThatGoesOnBoundsNothing(t *testing.T) {
+	ch := stopped(20, received("a", 20))
+	ch.IsStopped, ch.Leader.ClaimsLead = false, true
+	requireObstacle(t, Unfrozen, ch)
+	ch.Replicas = []Replica{frozen("a", 20)}
+	requireCandidates(t, ch, "a")
+}
+
+// The leader's log may go on beyond what any replica has received: nothing of that was
+// acknowledged, if no replica receives any more and none is missing.
+func TestEntriesThatNoReplicaReceivedAreNotRequired(t *testing.T) {
+	requireCandidates(t, stopped(30, frozen("a", 20), frozen("b", 18)), "a", "old")
+	requireCandidates(t, stopped(30, frozen("a", 20), received("b", 18)), "old")
+	requireCandidates(t, stopped(30, frozen("a", 20), Replica{ID: "b", IsListed: true}), "old")
+}
+
+func TestLogOfALeaderThatNoLongerAnswersBoundsNothing(t *testing.T) {
+	ch := stopped(0, received("a", 20), Replica{ID: "b", IsListed: true})
+	ch.Leader = Replica{ID: "old", IsListed: true}
+	requireObstacle(t, Unfrozen, ch)
+}
+
+// Guards against a leader that has restarted without its log.
+func TestLogOfAStoppedLeaderThatIsBehindAReplicaBoundsNothing(t *testing.T) {
+	requireObstacle(t, Unfrozen, stopped(3, received("a", 20), received("b", 18)))
+	requireCandidates(t, stopped(3, frozen("a", 20), frozen("b", 18)), "a")
+}
+
+func TestEveryReplicaOfASilentLeaderMustBeFrozen(t *testing.T) {
+	requireCandidates(t, silent(frozen("a", 20), frozen("b", 20)), "a", "b")
+	requireCandidates(t, silent(frozen("a", 20), frozen("b", 21)), "b")
+	requireObstacle(t, Unfrozen, silent(frozen("a", 20), received("b", 20)))
+	requireObstacle(t, Unanswered, silent(frozen("a", 20), Replica{ID: "b", IsListed: true}))
+	requireObstacle(t, Unanswered, silent(frozen("a", 20), Replica{ID: "b"}))
+}
+
+// leaving_replica_alone_has_it: a leaving replica, or one that is not listed, that alone
+// has acknowledged writes is appointed.
+func TestReplicaThatAloneHasAcknowledgedWritesIsAppointed(t *testing.T) {
+	requireCandidates(t, silent(frozen("a", 20), leaving(frozen("b", 21))), "b")
+	requireCandidates(t, silent(frozen("a", 20), unlisted(frozen("b", 21))), "b")
+	requireCandidates(t, stopped(21, received("a", 20), leaving(received("b", 21))), "old", "b")
+}
+
+func TestStayingReplicaIsPreferred(t *testing.T) {
+	near := frozen("near", 20)
+	near.Preference = 1
+	requireCandidates(t, silent(leaving(frozen("a", 20)), frozen("far", 20), near), "near", "far", "a")
+	ch := stopped(20, unlisted(received("a", 20)), received("b", 20))
+	requireCandidates(t, ch, "b", "old", "a")
+	require.True(t, ch.IsStaying(ch.Replicas[1]))
+	require.False(t, ch.IsStaying(ch.Replicas[0]))
+	require.False(t, ch.IsStaying(ch.Leader))
+	ch.Leader = leaving(ch.Leader)
+	requireCandidates(t, ch, "b", "a", "old")
+}
+
+// An ended replica may have been the only one that had a write that the leader
+// acknowledged before the replica ended.
+func TestEndedReplicaCountsUpToItsBound(t *testing.T) {
+	ended := Replica{ID: "b", HasEnded: true, HasBound: true, Bound: at(1, 20)}
+	requireCandidates(t, silent(frozen("a", 20), ended), "a")
+	requireObstacle(t, Behind, silent(frozen("a", 19), ended))
+	ended.HasBound = false
+	requireObstacle(t, Unanswered, silent(frozen("a", 20), ended))
+	requireCandidates(t, stopped(20, received("a", 20), ended), "a", "old")
+	requireCandidates(t, stopped(20, frozen("a", 19), ended), "old")
+}
+
+// A coordinator with an old listing took a replaced leader for the leader and did not freeze
+// it, so that the new leader went on acknowledging through it.
+func TestLeaderThatAnswersAsAReplicaMustBeFrozen(t *testing.T) {
+	ch := silent(frozen("a", 20), frozen("b", 20))
+	ch.Leader = received("old", 18)
+	requireObstacle(t, Unfrozen, ch)
+	ch.Leader = frozen("old", 18)
+	requireCandidates(t, ch, "a", "b")
+	ch.Leader = frozen("old", 21)
+	requireCandidates(t, ch, "old")
+}
+
+// No upstream leads any more that could report a bound for a replica that has ended.
+func TestEndedReplicaIsNoObstacleOnceTheLeaderAnswersAsAReplica(t *testing.T) {
+	ch := silent(frozen("a", 20), Replica{ID: "b", HasEnded: true})
+	requireObstacle(t, Unanswered, ch)
+	ch.Leader = frozen("old", 21)
+	requireCandidates(t, ch, "old")
+	ch.Leader = frozen("old", 20)
+	requireCandidates(t, ch, "a", "old")
+}
+
+func TestConcurrentChangeIsAnObstacle(t *testing.T) {
+	newer := received("b", 20)
+	newer.Term = 2
+	requireObstacle(t, TermChanged, stopped(20, received("a", 20), newer))
+	newer.ClaimsLead = true
+	requireObstacle(t, OtherLeads, stopped(20, received("a", 20), newer))
+	newer.Term = 1
+	requireObstacle(t, OtherLeads, stopped(20, received("a", 20), newer))
+	ch := stopped(20, received("a", 20))
+	ch.Leader.Term = 2
+	requireObstacle(t, TermChanged, ch)
+	requireObstacle(t, Unanswered, silent(Replica{ID: "b", Term: 2}))
+}
--- a/io/member/appointments.go
+++ b/io/member/appointments.go
@@ -22,17 +22,20 @@
 // although that is said to change nothing: if the leader has changed by then, the
 // call appoints the old one again.
 type appointments struct {
-	// spentToken is the newest spent token. It must not be used for another change,
-	// since the platform would then still accept the unanswered call, which carries
-	// the same token.
+	// spentToken is the newest spent token. It is used for another change only if a newer
+	// one cannot be had and the leader is dead.
 	spentToken uint64
+	// lateCandidate is the upstream of the last unanswered call, and lateCallUntil the time
+	// until which that call may be carried out. Until then its token, which is spentToken,
+	// must not be used for another change, since the platform would still accept that call.
+	lateCandidate string
+	lateCallUntil time.Time
 	// pendingCandidate is the upstream of an unanswered appointment. The replicas
 	// frozen for it stay frozen, and the change is continued with the same token,
 	// until the upstream leads or is no longer listed.
 	pendingCandidate string
 	// lateUnfreezeUntil is the time until which an unanswered order may still unfreeze
-	// a replica. The order could undo the freeze of a new change, so until then
-	// checkChange refuses changes of a leader that is unreached, stalled or crowded.
+	// a replica. Until then no change relies on frozen replicas alone.
 	lateUnfreezeUntil time.Time
 }
 
@@ -44,37 +47,50 @@
 var (
 	errTokenSpent          = errors.New("the token was already used in a call that was refused or not answered")
 	errUnconfirmedUnfreeze = errors.New("an unanswered order may still unfreeze a replica")
+	errLateAppointment     = errors.New("an unanswered call may still appoint the leader")
 	errForeignFreeze       = errors.New("a replica is frozen for another coordinator's change")
 )
 
-// checkChange returns why a change of leader must not begin, or nil if it may. A
-// dead leader acknowledges nothing, so a late call or order cannot lose a write
-// that it has acknowledged, and callers are waiting.
-func (ap appointments) checkChange(token uint64, reason elect.Reason, now time.Time) error {
-	switch {
-	case reason == elect.Dead, ap.pendingCandidate != "":
+// checkToken returns why a change of leader must not begin with the token, or nil if it
+// may.
+func (ap appointments) checkToken(token uint64, reason elect.Reason, now time.Time) error {
+	if ap.pendingCandidate != "" || token > ap.spentToken {
+		return nil
+	}
+	if reason == elect.Dead && !now.Before(ap.lateCallUntil) {
 		return nil
-	case token <= ap.spentToken:
-		return errTokenSpent
-	case now.Before(ap.lateUnfreezeUntil) && (reason == elect.Unreached || reason == elect.Stalled || reason == elect.Crowded):
+	}
+	return errTokenSpent
+}
+
+// mayBeAppointedLate reports whether an unanswered call may still appoint the upstream. While
+// the upstream leads, the call changes nothing; if it was stopped, it would lead again.
+func (ap appointments) mayBeAppointedLate(id string, now time.Time) bool {
+	return ap.lateCandidate == id && now.Before(ap.lateCallUntil)
+}
+
+// checkFreeze returns why a change must not rely on frozen replicas alone, or nil if it
+// may. hasForeign is true if a replica is frozen that this member has not ordered to
+// freeze: its coordinator may unfreeze it at any time. A dead leader is replaced
+// nevertheless, since callers are waiting and that coordinator unfreezes only for a leader
+// that leads.
+func (ap appointments) checkFreeze(reason elect.Reason, hasForeign bool, now time.Time) error {
+	switch {
+	case now.Before(ap.lateUnfreezeUntil):
 		return errUnconfirmedUnfreeze
+	case hasForeign && reason != elect.Dead && ap.pendingCandidate == "":
+		return errForeignFreeze
 	}
 	return nil
 }
 
-// checkReplicas returns why the replicas must not be relied on, or nil if they may.
-// A replica that is frozen for another coordinator's change may be unfrozen by that
-// coordinator at any time.
-func (ap appointments) checkReplicas(statuses map[string]orderResult, reason elect.Reason) error {
-	if reason == elect.Dead || ap.pendingCandidate != "" {
+// checkFreeze returns why the change must not rely on frozen replicas alone.
+func (mo *monitor) checkFreeze(ch *leaderChange) error {
+	if ch.isStopped || mo.me.settings.LeasesRequired {
 		return nil
 	}
-	for _, res := range statuses {
-		if res.err == nil && res.report.FrozenTerm > 0 {
-			return errForeignFreeze
-		}
-	}
-	return nil
+	hasForeign := ch.adopted == "" && mo.hasForeignFreeze(ch.results, time.Time{})
+	return mo.currentAppointments().checkFreeze(ch.reason, hasForeign, mo.me.deps.Now())
 }
 
 // currentAppointments returns a copy of the monitor's appointments.
@@ -92,31 +108,35 @@
 	err := mo.me.deps.Appoint(ctx, Appointment{
 		Group: mo.name, Upstream: id, Holder: mo.me.settings.Name, Token: token,
 	})
-	event.Log(mo.me.log, event.AppointAnswered, "group", mo.name, "candidate", id, "token", token, "error", errorText(err))
+	event.Log(mo.me.log, event.AppointAnswered, "group", mo.name, "candidate", id, "token", token, "error", errText(err))
 	if err == nil || IsErrAppointDeferred(err) {
 		return err
 	}
 	mo.mu.Lock()
 	defer mo.mu.Unlock()
 	mo.appointments.spentToken = max(mo.appointments.spentToken, token)
-	mo.appointments.pendingCandidate = id
 	if IsErrAppointRefused(err) {
 		// The platform will refuse any other call with this token that is in
 		// flight.
-		mo.appointments.pendingCandidate = ""
+		mo.appointments.pendingCandidate, mo.appointments.lateCallUntil = "", time.Time{}
+		return err
 	}
+	mo.appointments.pendingCandidate = id
+	mo.appointments.lateCandidate, mo.appointments.lateCallUntil = id, mo.me.deps.Now().Add(maxOrderDelay)
 	return err
 }
 
-// unfinishedReason returns elect.Unfinished if a change must be continued because its
-// appointment was not answered, and elect.None otherwise. It clears the pending
-// candidate once it leads or is no longer listed; mu is held.
+// unfinishedReason returns elect.Unfinished if a change must be continued, because its
+// appointment was not answered or the leader was stopped for it, and elect.None otherwise.
+// It clears the pending candidate once it leads or has ended; mu is held.
 func (mo *monitor) unfinishedReason(vi group.View, leader string, now time.Time) elect.Reason {
-	switch _, isListed := vi.GetUpstreamByID(mo.appointments.pendingCandidate); {
-	case mo.appointments.pendingCandidate == "":
-	case mo.appointments.pendingCandidate == leader:
+	pending := mo.appointments.pendingCandidate
+	_, isListed := vi.GetUpstreamByID(pending)
+	switch {
+	case pending == "":
+	case pending == leader && mo.stopped.id != leader:
 		mo.appointments.pendingCandidate = ""
-	case !isListed:
+	case !isListed && !mo.me.formers.mayRunByID(mo.name, pending):
 		// The upstream's log is gone, and the platform refuses the call when it
 		// processes it. The replicas frozen for this change must be unfrozen.
 		mo.appointments.pendingCandidate = ""
@@ -124,6 +144,9 @@
 	default:
 		return elect.Unfinished
 	}
+	if mo.stopped.id != "" && mo.stopped.id == mo.leader {
+		return elect.Unfinished
+	}
 	return elect.None
 }
 
@@ -143,3 +166,44 @@
 		mo.unfreeze(frozen, "the change was abandoned and no call relies on the freeze")
 	}
 }
+
+// unfreeze unfreezes replicas after an abandoned change. If an order fails, the replica
+// may still be frozen, or be unfrozen late: unfreeze schedules a check for frozen
+// replicas and sets lateUnfreezeUntil, which defers some new changes.
+func (mo *monitor) unfreeze(frozen []group.Upstream, why string) {
+	results := mo.me.orders.runAll(frozen, orderTimeout, order{Kind: orderUnfreeze})
+	mo.logStep("unfreeze", why, results)
+	now := mo.me.deps.Now()
+	mo.mu.Lock()
+	defer mo.mu.Unlock()
+	for id, res := range results {
+		delete(mo.frozenAt, id)
+		if res.err != nil {
+			mo.frozenCheckAt, mo.appointments.lateUnfreezeUntil = now.Add(frozenCheckRetry), now.Add(maxOrderDelay)
+		}
+	}
+}
+
+// unfreezeAbandoned unfreezes replicas that a previous coordinator, an abandoned change or
+// an unanswered order left frozen. If an appointment call of the previous coordinator were
+// carried out after this, acknowledged writes could be lost, since the call relies on the
+// freeze. Therefore the first check is only due frozenCheckDelay after the monitor has
+// started.
+func (mo *monitor) unfreezeAbandoned(ups []group.Upstream, leader string) {
+	results := mo.me.orders.runAll(upstreamsExcept(ups, leader), orderTimeout, order{Kind: orderStatus})
+	var frozen []group.Upstream
+	for _, up := range ups {
+		if res, ok := results[up.ID]; ok && res.err == nil && res.report.FrozenTerm > 0 {
+			frozen = append(frozen, up)
+		}
+	}
+	if len(frozen) > 0 {
+		event.Log(mo.me.log, event.ReplicasThawed, "group", mo.name, "replicas", len(frozen), "leader", leader)
+		mo.unfreeze(frozen, "the leader leads, and no call that relies on the freeze can be carried out any more")
+	}
+	mo.mu.Lock()
+	defer mo.mu.Unlock()
+	// beginFrozenCheck has set isChanging, so that no change of leader runs during the
+	// check.
+	mo.isChanging = false
+}
--- /dev/null
+++ b/io/member/change_freeze.go
@@ -0,0 +1,135 @@
+package member
+
+import (
+	"context"
+	"slices"
+
+	"github.com/cockroachdb/errors"
+
+	"banyanspring/core/group"
+)
+
+// freezeAll freezes all replicas, those included that have just joined, and reads back
+// that they are frozen. A leader that nobody reached is ordered to step down meanwhile, in
+// case that it goes on.
+func (mo *monitor) freezeAll(ch *leaderChange) error {
+	if err := mo.checkFreeze(ch); err != nil {
+		return err
+	}
+	if err := mo.awaitListing(ch); err != nil {
+		return err
+	}
+	stopped := make(chan orderResult, 1)
+	go func() { stopped <- mo.stopSilentLeader(ch) }()
+	ch.frozen = ch.replicas
+	mo.recordFreeze(ch.frozen)
+	results := mo.sendToReplicas(ch, orderTimeout, order{Kind: orderFreeze, Term: ch.term + 1})
+	ch.confirmFreeze(results)
+	mo.logStep("freeze", "the leader must not acknowledge anything more through a replica", results)
+	mo.freezeJoined(ch)
+	if res := <-stopped; res.err == nil {
+		mo.applyStop(ch, res)
+	}
+	mo.freezeResigned(ch)
+	mo.askReplicas(ch, orderTryTimeout, order{Kind: orderStatus})
+	mo.logStep("prove", "the replicas are frozen immediately before the call", ch.allResults())
+	return nil
+}
+
+// confirmListing reads the listing again. It returns an error if neither the store nor half
+// of the members confirm the listing: it may lack upstreams through which the leader
+// acknowledges writes.
+func (mo *monitor) confirmListing() error {
+	if err := mo.me.refreshListing(context.Background()); err != nil && !mo.hearsHalf() {
+		return errors.Wrap(errListingOld, err.Error())
+	}
+	return nil
+}
+
+// awaitListing returns the result of confirmListing, and calls it if that was not started.
+func (mo *monitor) awaitListing(ch *leaderChange) error {
+	if ch.confirmation == nil {
+		return mo.confirmListing()
+	}
+	return <-ch.confirmation
+}
+
+// freezeResigned freezes an upstream that was taken for the leader and answers as a replica:
+// the present leader may acknowledge writes because of it.
+func (mo *monitor) freezeResigned(ch *leaderChange) {
+	re := ch.leaderResult.report
+	if ch.leaderResult.err != nil || re.ClaimsLead || ch.isStopped {
+		return
+	}
+	ch.leaderResult = mo.askLeader(ch, orderTryTimeout, order{Kind: orderFreeze, Term: ch.term + 1})
+	mo.logStep("freeze", "the former leader receives the log", map[string]orderResult{ch.leader.ID: ch.leaderResult})
+}
+
+// hearsHalf reports whether at least half of the members have sent an opinion on the group's
+// leader lately. A member that hears from fewer and does not reach the store may lack
+// upstreams in its listing.
+func (mo *monitor) hearsHalf() bool {
+	heard := 1
+	now := mo.me.deps.Now()
+	for _, op := range mo.me.opinions.forGroup(mo.name) {
+		if now.Sub(op.ReceivedAt) <= maxOpinionAge {
+			heard += max(1, op.Count)
+		}
+	}
+	return 2*heard >= mo.me.roster.count()
+}
+
+// stopSilentLeader orders a leader that did not answer the survey to step down. It returns
+// an error if that leader does not answer now either.
+func (mo *monitor) stopSilentLeader(ch *leaderChange) orderResult {
+	if ch.leaderResult.err == nil {
+		return orderResult{err: errLeaderAnswers}
+	}
+	if mo.currentAppointments().mayBeAppointedLate(ch.leader.ID, mo.me.deps.Now()) {
+		return orderResult{err: errLateAppointment}
+	}
+	return mo.askLeader(ch, silentStopTimeout, order{Kind: orderStepDown, Term: ch.term + 1})
+}
+
+// confirmFreeze records which replicas reported that they are frozen.
+func (ch *leaderChange) confirmFreeze(results map[string]orderResult) {
+	ch.confirmed = make(map[string]bool, len(results))
+	for id, res := range results {
+		ch.confirmed[id] = res.err == nil && res.report.FrozenTerm > 0
+	}
+}
+
+// checkNoNewUpstream returns an error if an upstream joined the group after the replicas
+// were frozen: a leader that has not stopped could acknowledge writes because of it.
+func (mo *monitor) checkNoNewUpstream(ch *leaderChange) error {
+	if joined := mo.joinedSince(ch); len(joined) > 0 {
+		return errors.Wrap(errJoined, joined[0].ID)
+	}
+	return nil
+}
+
+// joinedSince returns the listed upstreams that are not part of the change.
+func (mo *monitor) joinedSince(ch *leaderChange) []group.Upstream {
+	var out []group.Upstream
+	for _, up := range mo.me.listing().Members(mo.name) {
+		isKnown := up.IsSameIncarnation(ch.leader) || slices.ContainsFunc(ch.replicas, up.IsSameIncarnation)
+		if !isKnown {
+			out = append(out, up)
+		}
+	}
+	return out
+}
+
+// freezeJoined freezes the upstreams that joined the group since the survey: a leader that
+// has not stopped acknowledges writes because of them until the new one leads.
+func (mo *monitor) freezeJoined(ch *leaderChange) {
+	joined := mo.joinedSince(ch)
+	if len(joined) == 0 {
+		return
+	}
+	ch.view = mo.me.listing()
+	ch.replicas, ch.frozen = append(slices.Clone(ch.replicas), joined...), append(slices.Clone(ch.frozen), joined...)
+	mo.recordFreeze(joined)
+	results := mo.me.orders.runAll(joined, orderTryTimeout, order{Kind: orderFreeze, Term: ch.term + 1})
+	mo.logStep("freeze", "it joined the group during the change", results)
+}
--- a/io/member/change_log.go
+++ b/io/member/change_log.go
@@ -29,17 +29,12 @@
 		return fmt.Sprintf("error %q", res.err)
 	}
 	re, role := res.report, "replica"
+	if res.via != "" {
+		role = "via " + res.via + " replica"
+	}
 	if re.ClaimsLead {
-		role = "leader"
+		role = strings.Replace(role, "replica", "leader", 1)
 	}
 	return fmt.Sprintf("%s term %d received %d.%d frozen %d lag %s", role, re.Term, re.Received.Term.Number, re.Received.Offset,
 		re.FrozenTerm, re.Lag)
 }
-
-// errorText returns the text of an error, empty if there is none.
-func errorText(err error) string {
-	if err == nil {
-		return ""
-	}
-	return err.Error()
-}
--- /dev/null
+++ b/io/member/change_state.go
@@ -0,0 +1,136 @@
+package member
+
+import (
+	"slices"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"banyanspring/core/elect"
+	"banyanspring/core/group"
+)
+
+// state returns the change as package elect sees it.
+func (mo *monitor) state(ch *leaderChange) elect.Change {
+	now := mo.me.deps.Now()
+	out := elect.Change{Term: ch.term, Leader: mo.replicaState(ch, ch.leader, ch.leaderResult), IsStopped: ch.isStopped}
+	// Nothing is left to wait for once the leader's log is gone too.
+	isLeaderGone := mo.isGone(ch.leader, ch.leaderResult, now)
+	for _, up := range ch.replicas {
+		re := mo.replicaState(ch, up, ch.results[up.ID])
+		if !re.IsListed && !re.Answered && !mo.me.formers.mayRun(up) {
+			re.HasEnded, re.HasBound = true, isLeaderGone
+		}
+		out.Replicas = append(out.Replicas, re)
+	}
+	for _, fr := range ch.ended {
+		out.Replicas = append(out.Replicas, elect.Replica{
+			ID: fr.upstream.ID, HasEnded: true, Bound: fr.bound, HasBound: fr.hasBound || isLeaderGone,
+		})
+	}
+	return out
+}
+
+// stateIfStopped returns the change as it would be if the leader stopped now.
+func (mo *monitor) stateIfStopped(ch *leaderChange) elect.Change {
+	st := mo.state(ch)
+	st.IsStopped = true
+	for pos := range st.Replicas {
+		st.Replicas[pos].IsFrozen = true
+	}
+	return st
+}
+
+// isGone reports whether an upstream that did not answer is to be treated as gone.
+func (mo *monitor) isGone(up group.Upstream, res orderResult, now time.Time) bool {
+	fr, ok := mo.me.formers.get(up)
+	return ok && res.err != nil && now.Sub(fr.removedAt) >= goneAfter
+}
+
+// replicaState returns an upstream's state from its latest answer. Of upstreams that hold
+// the same, those of the leader's region are preferred; all members choose alike.
+func (mo *monitor) replicaState(ch *leaderChange, up group.Upstream, res orderResult) elect.Replica {
+	_, isListed := ch.view.GetUpstreamByID(up.ID)
+	re := elect.Replica{
+		ID: up.ID, Answered: res.err == nil, IsListed: isListed, IsLeaving: up.Leaving,
+		ClaimsLead: res.report.ClaimsLead, IsFrozen: res.report.FrozenTerm > 0, Received: res.report.Received, Term: res.report.Term,
+	}
+	regions := mo.me.settings.RegionOf
+	if !mo.me.settings.LeasesRequired && regions[up.Domain] == regions[ch.leader.Domain] {
+		re.Preference = 1
+	}
+	return re
+}
+
+// askLeader sends an order to the leader, also through other members.
+func (mo *monitor) askLeader(ch *leaderChange, timeout time.Duration, or order) orderResult {
+	if ch.leader.Address == "" {
+		return orderResult{err: errors.New("the leader's address is not known")}
+	}
+	wait := relayAfter
+	if ch.isSilent {
+		wait = 0
+	}
+	return mo.me.orders.runAnyhow(ch.leader, timeout, wait, or)
+}
+
+// askReplicas sends an order to all replicas and keeps the answers.
+func (mo *monitor) askReplicas(ch *leaderChange, timeout time.Duration, or order) {
+	ch.results = mo.sendToReplicas(ch, timeout, or)
+}
+
+func (mo *monitor) sendToReplicas(ch *leaderChange, timeout time.Duration, or order) map[string]orderResult {
+	results := forAll(ch.replicas, func(up group.Upstream) orderResult { return mo.me.orders.runAnyhow(up, timeout, relayAfter, or) })
+	mo.recordEnded(ch, results)
+	return results
+}
+
+// recordEnded records the upstreams that are not listed and have ended.
+func (mo *monitor) recordEnded(ch *leaderChange, results map[string]orderResult) {
+	now := mo.me.deps.Now()
+	for _, up := range ch.replicas {
+		if res := results[up.ID]; res.hasEnded() || mo.isGone(up, res, now) {
+			mo.me.formers.markEnded(up, now)
+		}
+	}
+}
+
+// allResults returns the latest answers of all upstreams.
+func (ch *leaderChange) allResults() map[string]orderResult {
+	out := map[string]orderResult{ch.leader.ID: ch.leaderResult}
+	for id, res := range ch.results {
+		out[id] = res
+	}
+	return out
+}
+
+func upstreamsExcept(ups []group.Upstream, id string) []group.Upstream {
+	out := make([]group.Upstream, 0, len(ups))
+	for _, up := range ups {
+		if up.ID != id {
+			out = append(out, up)
+		}
+	}
+	return out
+}
+
+func highestTerm(results map[string]orderResult) uint64 {
+	var term uint64
+	for _, res := range results {
+		if res.err == nil {
+			term = max(term, res.report.Term)
+		}
+	}
+	return term
+}
+
+func (ch *leaderChange) upstreamByID(id string) (group.Upstream, bool) {
+	if ch.leader.ID == id {
+		return ch.leader, true
+	}
+	pos := slices.IndexFunc(ch.replicas, func(up group.Upstream) bool { return up.ID == id })
+	if pos < 0 {
+		return group.Upstream{}, false
+	}
+	return ch.replicas[pos], true
+}
--- /dev/null
+++ b/io/member/change_survey.go
@@ -0,0 +1,123 @@
+package member
+
+import (
+	"time"
+
+	"banyanspring/core/elect"
+	"banyanspring/io/pool"
+)
+
+// isSilent reports whether the leader has not proven its leadership to this member for a
+// while.
+func (mo *monitor) isSilent(now time.Time) bool {
+	mo.mu.Lock()
+	defer mo.mu.Unlock()
+	return now.Sub(mo.heardAt) > electTiming.SilenceTimeout
+}
+
+// survey asks all upstreams of the group for their reports, and returns why no change may
+// begin, or nil.
+func (mo *monitor) survey(ch *leaderChange) error {
+	leaderTimeout := surveyTimeout
+	if ch.isSilent {
+		leaderTimeout = silentSurveyTimeout
+	}
+	leaderResult := make(chan orderResult, 1)
+	go func() { leaderResult <- mo.askLeader(ch, leaderTimeout, order{Kind: orderStatus}) }()
+	if ch.isSilent {
+		ch.confirmation = make(chan error, 1)
+		go func() { ch.confirmation <- mo.confirmListing() }()
+	}
+	mo.askReplicas(ch, surveyTimeout, order{Kind: orderStatus})
+	ch.leaderResult = <-leaderResult
+	ch.term = highestTerm(ch.results)
+	if ch.leaderResult.err == nil {
+		ch.term = max(ch.term, ch.leaderResult.report.Term)
+	}
+	mo.logStep("survey", "leader "+ch.leader.ID+" is to be replaced: "+string(ch.reason), ch.allResults())
+	if id, ok := mo.otherLeader(ch); ok {
+		mo.adoptLeader(id)
+		return obstacleError{elect.OtherLeads}
+	}
+	if err := mo.checkLeader(ch); err != nil {
+		return err
+	}
+	if mo.me.settings.LeasesRequired {
+		return mo.checkLeasedChange(ch)
+	}
+	if mo.hasForeignFreeze(ch.results, time.Time{}) {
+		ch.adopted = ch.onlyReplica(func(re pool.Report) bool { return re.FrozenTerm > 0 })
+	}
+	return nil
+}
+
+// onlyReplica returns the ID of the replica whose report fulfils the condition, if it is
+// the only one of several; else an empty string.
+func (ch *leaderChange) onlyReplica(fulfils func(re pool.Report) bool) string {
+	found := ""
+	for id, res := range ch.results {
+		if res.err != nil || !fulfils(res.report) {
+			continue
+		}
+		if found != "" {
+			return ""
+		}
+		found = id
+	}
+	if len(ch.replicas) < 2 {
+		return ""
+	}
+	return found
+}
+
+// otherLeader returns the replica that claims to lead the newest term.
+func (mo *monitor) otherLeader(ch *leaderChange) (string, bool) {
+	for id, res := range ch.results {
+		if res.err == nil && res.report.ClaimsLead && res.report.Term == ch.term {
+			return id, true
+		}
+	}
+	return "", false
+}
+
+// adoptLeader makes the upstream that leads already the monitored leader.
+func (mo *monitor) adoptLeader(id string) {
+	now := mo.me.deps.Now()
+	if !mo.me.settings.LeasesRequired {
+		mo.me.engine.RecordLeaderProof(mo.name, id, now)
+	}
+	mo.mu.Lock()
+	defer mo.mu.Unlock()
+	mo.leader, mo.watchedSince, mo.heardAt, mo.refused, mo.changedAt = id, now, now, false, now
+}
+
+// stoppedLeader is a leader that was stopped for a change, and the term that it led.
+type stoppedLeader struct {
+	id   string
+	term uint64
+}
+
+// checkLeader notes whether the leader was stopped by an earlier attempt. It returns
+// errLeaderAnswers if it leads and the reason to replace it is gone.
+func (mo *monitor) checkLeader(ch *leaderChange) error {
+	res := ch.leaderResult
+	if res.err != nil || res.report.Term != ch.term {
+		return nil
+	}
+	now := mo.me.deps.Now()
+	mo.mu.Lock()
+	defer mo.mu.Unlock()
+	if !res.report.ClaimsLead {
+		// If this member has not stopped it, another upstream may have been appointed.
+		ch.isStopped = mo.stopped == stoppedLeader{ch.leader.ID, ch.term}
+		return nil
+	}
+	mo.stopped = stoppedLeader{}
+	isHeard := ch.reason == elect.Dead && res.via == "" && ch.isLeaderListed
+	isFinished := ch.reason == elect.Unfinished && mo.appointments.pendingCandidate == "" && ch.isLeaderListed
+	if isHeard || isFinished {
+		mo.heardAt, mo.refused = now, false
+		return errLeaderAnswers
+	}
+	return nil
+}
--- a/io/member/confirm.go
+++ b/io/member/confirm.go
@@ -6,7 +6,6 @@
 
 	"banyanspring/core/group"
 	"banyanspring/core/lease"
-	"banyanspring/io/pool"
 )
 
 // confirmInterval is the time between two requests of the coordinator that confirm a
@@ -97,9 +96,7 @@
 // askReports asks the upstreams for their reports on the monitor's own connections.
 func (mo *monitor) askReports(ups []group.Upstream) []lease.Report {
 	askedAt := mo.me.deps.Now()
-	results := mo.runOnAllWithin(ups, probeTimeout, func(co *pool.Conn, deadline time.Time) (pool.Report, error) {
-		return co.Status(deadline)
-	})
+	results := mo.me.orders.runAll(ups, probeTimeout, order{Kind: orderStatus})
 	var out []lease.Report
 	for id, res := range results {
 		if res.err == nil {
--- /dev/null
+++ b/io/member/former_test.go
@@ -0,0 +1,86 @@
+package member
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"banyanspring/core/evid"
+	"banyanspring/core/group"
+	"banyanspring/core/posn"
+)
+
+func at(offset uint64) posn.Position {
+	return posn.Position{Term: posn.Term{Number: 1}, Offset: offset}
+}
+
+// listUpstreams applies a listing of upstreams of group g.
+func (tm *testMember) listUpstreams(revision uint64, ups ...group.Upstream) {
+	for pos := range ups {
+		ups[pos].Group = "g"
+	}
+	tm.updateView(func(group.View) group.View { return group.NewView(revision, ups) })
+}
+
+func TestUpstreamThatLosesItsEntryIsRemembered(t *testing.T) {
+	tm := newTestMember()
+	one, two := group.Upstream{ID: "one", Address: "a:1"}, group.Upstream{ID: "two", Address: "b:1"}
+	tm.listUpstreams(1, one, two)
+	require.Empty(t, tm.formers.ofGroup("g"))
+	tm.listUpstreams(2, one)
+	two.Group = "g"
+	require.True(t, tm.formers.mayRun(two))
+	require.True(t, tm.formers.mayRunByID("g", "two"))
+	tm.listUpstreams(3, one, two)
+	require.False(t, tm.formers.mayRun(two))
+	require.Empty(t, tm.formers.ofGroup("g"))
+}
+
+// Another incarnation under its ID or at its address shows that an upstream has ended.
+func TestFormerUpstreamEndsWhenAnotherOneTakesItsPlace(t *testing.T) {
+	for _, next := range []group.Upstream{{ID: "two", Address: "b:1", Incarnation: 2}, {ID: "three", Address: "b:1"}} {
+		tm := newTestMember()
+		two := group.Upstream{ID: "two", Address: "b:1", Incarnation: 1, Group: "g"}
+		tm.listUpstreams(1, two)
+		tm.listUpstreams(2, next)
+		require.False(t, tm.formers.mayRun(two))
+		require.Len(t, tm.formers.ofGroup("g"), 1)
+	}
+}
+
+// A sample that was asked for before the upstream ended does not bound what it may have
+// received.
+func TestBoundOfAnEndedUpstreamIsALaterSample(t *testing.T) {
+	tm := newTestMember()
+	two := group.Upstream{ID: "two", Address: "b:1", Group: "g"}
+	tm.listUpstreams(1, two)
+	tm.listUpstreams(2)
+	ended := tm.now
+	tm.formers.observe("g", evid.Sample{Asked: ended.Add(time.Second), Position: at(1)}, tm.now)
+	require.False(t, tm.formers.ofGroup("g")[0].hasBound)
+	tm.formers.markEnded(two, ended)
+	tm.formers.observe("g", evid.Sample{Asked: ended, Position: at(2)}, tm.now)
+	require.False(t, tm.formers.ofGroup("g")[0].hasBound)
+	require.Empty(t, tm.formers.ended())
+	tm.formers.observe("g", evid.Sample{Asked: ended.Add(time.Millisecond), Position: at(3)}, tm.now)
+	tm.formers.observe("g", evid.Sample{Asked: ended.Add(time.Second), Position: at(4)}, tm.now)
+	require.Equal(t, at(3), tm.formers.ofGroup("g")[0].bound)
+	tm.formers.observe("g", evid.Sample{Asked: tm.now, Position: at(5)}, ended.Add(formerKeep+time.Second))
+	require.Empty(t, tm.formers.ofGroup("g"))
+}
+
+// The successor of a coordinator may not reach the leader whose position it would need.
+func TestBoundsReachTheOtherMembers(t *testing.T) {
+	two := group.Upstream{ID: "two", Address: "b:1", Incarnation: 7, Group: "g"}
+	sender, receiver := newTestMember(), newTestMember()
+	for _, tm := range []*testMember{sender, receiver} {
+		tm.listUpstreams(1, two)
+		tm.listUpstreams(2)
+	}
+	sender.formers.markEnded(two, sender.now)
+	sender.formers.observe("g", evid.Sample{Asked: sender.now.Add(time.Millisecond), Position: at(9)}, sender.now)
+	receiver.applyReply(sender.makeReply(exchangeQuery{}, sender.now), "sender", receiver.now)
+	require.False(t, receiver.formers.mayRun(two))
+	require.Equal(t, at(9), receiver.formers.ofGroup("g")[0].bound)
+}
--- a/io/member/leased_change.go
+++ b/io/member/leased_change.go
@@ -8,7 +8,6 @@
 	"github.com/cockroachdb/errors"
 
 	"banyanspring/core/elect"
-	"banyanspring/core/event"
 	"banyanspring/core/group"
 	"banyanspring/core/lease"
 	"banyanspring/io/pool"
@@ -16,128 +15,92 @@
 
 var (
 	errTokenUnvetted = errors.New("the token was drawn before the group's present term was known")
-	errOtherLeads    = errors.New("another upstream than the one to be replaced leads")
 	errUnfrozen      = errors.New("a replica was restarted or unfrozen during the change")
 	errTooLate       = errors.New("the change took so long that another member may have taken it over")
-	errOtherChange   = errors.New("the candidate of an unanswered appointment is behind a frozen replica")
 )
 
-// stepDownTimeout bounds the order to the old leader to step down. It is short for a
-// leader that is silent already.
-const (
-	stepDownTimeout     = 500 * time.Millisecond
-	deadStepDownTimeout = 150 * time.Millisecond
-)
-
-// runLeasedChange is runChange for platforms on which a replaced leader goes on serving
-// and fencing tokens are not checked. The old leader is ordered to step down before the
-// appointment. If it does not confirm that, all replicas are frozen, so that no lease on
-// it can be renewed, and the new leader is not written to before the last one has ended.
-func (mo *monitor) runLeasedChange(ctx context.Context, reason elect.Reason) (string, error) {
-	began := mo.me.deps.Now()
-	token, ok := mo.me.roster.Token()
-	if !ok {
-		return "", errors.New("this member has no fencing token")
-	}
-	defer mo.renewSpentToken(token)
-	if err := mo.currentAppointments().checkChange(token, reason, mo.me.deps.Now()); err != nil {
-		return "", err
-	}
-	vi, leader := mo.me.listing(), mo.currentLeader()
-	replicas := upstreamsExcept(vi.Members(mo.name), leader)
-	statuses := mo.runOnAll(replicas, func(co *pool.Conn, deadline time.Time) (pool.Report, error) { return co.Status(deadline) })
-	term := highestTerm(statuses)
-	if err := mo.checkOtherChanges(statuses, token, term); err != nil {
-		return "", err
-	}
-	candidate, isAdopted, ok := mo.chooseLeasedCandidate(mo.replicaStates(replicas, statuses), statuses)
-	if !ok {
-		return "", errNoCandidate
-	}
-	ch := &leasedChange{vi: vi, leader: leader, replicas: replicas, candidate: candidate, held: mo.heldLease(), term: term, callBy: began.Add(takeoverTimeout)}
-	ch.isAdopted = isAdopted
-	if err := mo.prepare(ctx, ch, reason); err != nil {
-		if !errors.Is(err, errForeignFreeze) && !errors.Is(err, errTooLate) {
-			mo.unfreezeUnlessPending(ch.frozen)
-		}
-		return ch.candidate.ID, err
-	}
-	event.Log(mo.me.log, event.PromotionBegun, "group", mo.name, "candidate", ch.candidate.ID, "reason", string(reason),
-		"term", term+1, "token", token, "old", leader, "old_stopped", ch.isStopped, "writes_in_ms", max(0, ch.writesFrom.Sub(mo.me.deps.Now()).Milliseconds()))
-	if err := mo.appoint(ctx, vi, ch.candidate.ID, token); err != nil {
-		mo.unfreezeUnlessPending(ch.frozen)
-		return ch.candidate.ID, err
-	}
-	mo.publishLeader(ch, token)
-	return ch.candidate.ID, nil
-}
-
-// heldLease returns this member's evidence on the group's leader.
-func (mo *monitor) heldLease() lease.Evidence {
-	for _, op := range mo.me.engine.Opinions() {
-		if op.Group == mo.name {
-			return op.Lease
-		}
-	}
-	return lease.Evidence{}
-}
-
-// leasedChange is the state of one change of leader.
+// leasedChange is the part of a change that matters only on platforms on which a replaced
+// leader goes on serving and fencing tokens are not checked. There the freeze of the
+// replicas orders the coordinators, and the new leader is not written to before the last
+// lease on an old one that has not stopped has ended.
 type leasedChange struct {
-	vi     group.View
-	leader string
-	// replicas holds all listed members except the leader, and frozen those that were
-	// ordered to freeze.
-	replicas, frozen []group.Upstream
-	// states holds the reports of the frozen replicas.
-	states    []elect.Replica
-	candidate elect.Replica
-	// held is the evidence on the old leader, and term its term.
+	// held is the evidence on the old leader.
 	held lease.Evidence
-	term uint64
-	// isAdopted is true if candidate is that of another member's abandoned change.
-	isAdopted bool
-	// callBy is when the appointment must have been sent. Later another member may
-	// consider this change abandoned, for example if this one was suspended.
-	callBy time.Time
-	// isStopped is true once the old leader has confirmed that it does not lead.
-	isStopped bool
 	// writesFrom is when the last lease on the old leader has ended.
 	writesFrom time.Time
 }
 
-// checkOtherChanges returns why the change must not begin because of another member's
+// checkLeasedChange returns why the change must not begin because of another member's
 // change or token, or nil if it may. While this member's own appointment is unanswered,
 // the frozen replicas are its own.
-func (mo *monitor) checkOtherChanges(statuses map[string]orderResult, token, term uint64) error {
+func (mo *monitor) checkLeasedChange(ch *leaderChange) error {
+	ch.leases.held = mo.heldLease()
 	if mo.currentAppointments().pendingCandidate != "" {
 		return nil
 	}
-	if mo.hasForeignFreeze(statuses) && !mo.isChangeAbandoned() {
+	if mo.hasForeignFreeze(ch.results, mo.me.deps.Now().Add(-takeoverTimeout)) && !mo.isChangeAbandoned() {
 		mo.me.vetting.recordForeign(mo.name)
 		return errForeignFreeze
 	}
-	for _, res := range statuses {
-		if res.err == nil && res.report.ClaimsLead && res.report.Term == term {
-			return errOtherLeads
-		}
-	}
-	if !mo.me.vetting.allows(mo.name, term, token) {
-		mo.me.vetting.learn(mo.name, term)
+	if !mo.me.vetting.allows(mo.name, ch.term, ch.token) {
+		mo.me.vetting.learn(mo.name, ch.term)
 		return errTokenUnvetted
 	}
+	ch.adopted = ch.onlyReplica(func(re pool.Report) bool { return re.FrozenTerm == 0 })
 	return nil
 }
 
-// hasForeignFreeze reports whether a replica is frozen that this member has not ordered
-// to freeze within the time of one attempt. A replica may stay frozen after an attempt
-// that failed.
-func (mo *monitor) hasForeignFreeze(statuses map[string]orderResult) bool {
-	oldest := mo.me.deps.Now().Add(-takeoverTimeout)
+// claimLeasedChange freezes all replicas except the candidate, while the leader still
+// leads: another member that finds them frozen does not begin a change.
+func (mo *monitor) claimLeasedChange(ctx context.Context, ch *leaderChange) error {
+	if ch.leaderResult.err != nil || !ch.leaderResult.report.ClaimsLead {
+		return nil
+	}
+	candidate, err := mo.chooseClaimed(ch)
+	if err != nil {
+		return err
+	}
+	ch.frozen = upstreamsExcept(ch.replicas, candidate)
+	mo.recordFreeze(ch.frozen)
+	results := mo.me.orders.runAll(ch.frozen, orderTimeout, order{Kind: orderFreeze, Term: ch.term + 1})
+	ch.confirmFreeze(results)
+	mo.logStep("claim", "all replicas but "+candidate+" are frozen to order the coordinators", results)
+	return ctx.Err()
+}
+
+// chooseClaimed returns the replica that is not frozen while the leader still leads.
+func (mo *monitor) chooseClaimed(ch *leaderChange) (string, error) {
+	if id := mo.currentAppointments().pendingCandidate; id != "" {
+		return id, nil
+	}
+	if ch.adopted != "" {
+		return ch.adopted, nil
+	}
+	candidates, obstacle := mo.stateIfStopped(ch).Candidates()
+	if obstacle != elect.NoObstacle {
+		return "", obstacleError{obstacle}
+	}
+	return candidates[0].ID, nil
+}
+
+// heldLease returns this member's evidence on the group's leader.
+func (mo *monitor) heldLease() lease.Evidence {
+	for _, op := range mo.me.engine.Opinions() {
+		if op.Group == mo.name {
+			return op.Lease
+		}
+	}
+	return lease.Evidence{}
+}
+
+// hasForeignFreeze reports whether a replica is frozen that this member has not ordered to
+// freeze since the time given. A replica may stay frozen after an attempt that failed.
+func (mo *monitor) hasForeignFreeze(statuses map[string]orderResult, since time.Time) bool {
 	mo.mu.Lock()
 	defer mo.mu.Unlock()
 	for id, res := range statuses {
-		if res.err == nil && res.report.FrozenTerm > 0 && mo.frozenAt[id].Before(oldest) {
+		orderedAt := mo.frozenAt[id]
+		if res.err == nil && res.report.FrozenTerm > 0 && (orderedAt.IsZero() || orderedAt.Before(since)) {
 			return true
 		}
 	}
@@ -155,63 +118,11 @@
 	return mo.isAbandoned(now)
 }
 
-// chooseLeasedCandidate is like chooseCandidate. If another member's change was
-// abandoned, its appointment may still be carried out, so that the same candidate must
-// be chosen: the only replica that is not frozen, or if all are, the one that
-// elect.ChooseCandidate returns.
-func (mo *monitor) chooseLeasedCandidate(states []elect.Replica, statuses map[string]orderResult) (chosen elect.Replica, isAdopted, ok bool) {
-	var receiving []elect.Replica
-	for _, re := range states {
-		if re.Answered && statuses[re.ID].report.FrozenTerm == 0 {
-			receiving = append(receiving, re)
-		}
-	}
-	if len(receiving) == 1 && len(states) > 1 && mo.currentAppointments().pendingCandidate == "" {
-		chosen, ok = elect.ChooseCandidate(receiving)
-		return chosen, true, ok
-	}
-	chosen, ok = mo.chooseCandidate(states)
-	return chosen, false, ok
-}
-
-// prepare freezes replicas, stops the old leader if it answers, and sets from when the
-// new leader may be written to. A leader that answers serves until it is stopped: the
-// candidate receives its log until then.
-func (mo *monitor) prepare(ctx context.Context, ch *leasedChange, reason elect.Reason) error {
-	if reason == elect.Dead {
-		stopped := make(chan bool, 1)
-		go func() { stopped <- mo.stepDown(ch, deadStepDownTimeout) }()
-		mo.freezeReplicas(ch, ch.replicas)
-		ch.isStopped = <-stopped
-		return mo.finishPreparing(ch)
-	}
-	mo.freezeReplicas(ch, upstreamsExcept(ch.replicas, ch.candidate.ID))
-	err := mo.awaitCatchUp(ctx, ch.vi, ch.candidate, ch.states, ch.term)
-	if err != nil && !errors.Is(err, errBehind) {
-		return err
-	}
-	ch.isStopped = mo.stepDown(ch, stepDownTimeout)
-	if err == nil && ch.isStopped {
-		ch.writesFrom = ch.held.WritesAfter(mo.me.deps.Now())
-		return mo.checkOwnFreeze(ch)
-	}
-	mo.freezeReplicas(ch, ch.replicas)
-	return mo.finishPreparing(ch)
-}
-
-// finishPreparing chooses the candidate once all replicas are frozen.
-func (mo *monitor) finishPreparing(ch *leasedChange) error {
-	if err := mo.chooseFrozen(ch); err != nil {
-		return err
-	}
-	return mo.checkOwnFreeze(ch)
-}
-
 // checkOwnFreeze returns an error if the replicas are not frozen as this change has
 // ordered, so that another member is changing the leader too, or if the time for the
 // appointment is over.
-func (mo *monitor) checkOwnFreeze(ch *leasedChange) error {
-	statuses := mo.runOnAll(ch.replicas, func(co *pool.Conn, deadline time.Time) (pool.Report, error) { return co.Status(deadline) })
+func (mo *monitor) checkOwnFreeze(ch *leaderChange) error {
+	statuses := mo.me.orders.runAll(ch.replicas, orderTimeout, order{Kind: orderStatus})
 	for id, res := range statuses {
 		isOrdered := slices.ContainsFunc(ch.frozen, func(up group.Upstream) bool { return up.ID == id })
 		switch {
@@ -219,7 +130,7 @@
 		case res.report.FrozenTerm > 0 && !isOrdered:
 			mo.me.vetting.recordForeign(mo.name)
 			return errForeignFreeze
-		case res.report.FrozenTerm == 0 && ch.hasFrozen(id):
+		case res.report.FrozenTerm == 0 && ch.confirmed[id]:
 			return errUnfrozen
 		}
 	}
@@ -229,18 +140,11 @@
 	return nil
 }
 
-// hasFrozen reports whether the replica confirmed that it is frozen.
-func (ch *leasedChange) hasFrozen(id string) bool {
-	return slices.ContainsFunc(ch.states, func(re elect.Replica) bool { return re.ID == id && re.Answered })
-}
-
-// freezeReplicas orders the upstreams to freeze.
-func (mo *monitor) freezeReplicas(ch *leasedChange, ups []group.Upstream) {
-	mo.recordFreeze(ups)
-	reports := mo.runOnAll(ups, func(co *pool.Conn, deadline time.Time) (pool.Report, error) {
-		return co.Freeze(ch.term+1, deadline)
-	})
-	ch.frozen, ch.states = ups, mo.replicaStates(ups, reports)
+// isOwnFreeze reports whether this member has ordered the replica to freeze.
+func (mo *monitor) isOwnFreeze(id string) bool {
+	mo.mu.Lock()
+	defer mo.mu.Unlock()
+	return !mo.frozenAt[id].IsZero()
 }
 
 // recordFreeze records when the upstreams are ordered to freeze.
@@ -253,86 +157,36 @@
 	}
 }
 
-// stepDown orders the old leader to step down and reports whether it confirmed that.
-func (mo *monitor) stepDown(ch *leasedChange, timeout time.Duration) bool {
-	up, ok := ch.vi.GetUpstreamByID(ch.leader)
-	if !ok {
-		return false
-	}
-	res := mo.runOn(up, timeout, func(co *pool.Conn, deadline time.Time) (pool.Report, error) {
-		return co.StepDown(ch.term+1, deadline)
-	})
-	return res.err == nil && !res.report.ClaimsLead
-}
-
-// chooseFrozen makes the frozen replica with the highest received position the
-// candidate, once all replicas are frozen. From then on the old leader acknowledges
-// nothing and no lease on it is renewed.
-func (mo *monitor) chooseFrozen(ch *leasedChange) error {
-	now := mo.me.deps.Now()
-	ch.writesFrom = now.Add(lease.Duration)
-	if ch.isStopped {
-		ch.writesFrom = ch.held.WritesAfter(now)
-	}
-	mo.refreshListed(ch.states)
-	best, ok := elect.ChooseCandidate(ch.states)
-	if !ok {
-		return errNoCandidate
-	}
-	if pending := mo.currentAppointments().pendingCandidate; pending != "" {
-		for _, re := range ch.states {
-			if re.ID == pending && re.Answered && re.Received.Compare(best.Received) < 0 {
-				return errOtherChange
-			}
-			if re.ID == pending && re.Answered {
-				best = re
-			}
-		}
-	}
-	if ch.isAdopted {
-		for _, re := range ch.states {
-			if re.ID == ch.candidate.ID && re.Answered && re.Received.Compare(best.Received) == 0 {
-				best = re
-			}
-		}
-	}
-	ch.candidate = best
-	if obstacle := elect.CheckCandidate(best, ch.states, ch.term); obstacle != elect.NoObstacle {
-		return errors.Newf("%s", string(obstacle))
-	}
-	return mo.checkNoNewUpstream(best.ID, ch.states)
-}
-
 // publishLeader records the lease on the new leader, which reaches the other members by
 // the exchanges, and stops the old leader as soon as it answers.
-func (mo *monitor) publishLeader(ch *leasedChange, token uint64) {
-	up, _ := ch.vi.GetUpstreamByID(ch.candidate.ID)
+func (mo *monitor) publishLeader(ch *leaderChange, id string) {
+	up, _ := ch.upstreamByID(id)
 	askedAt := mo.me.deps.Now()
-	res := mo.runOn(up, orderTimeout, func(co *pool.Conn, deadline time.Time) (pool.Report, error) { return co.Status(deadline) })
+	res := mo.me.orders.run(up, orderTimeout, order{Kind: orderStatus})
 	if res.err != nil || !res.report.ClaimsLead {
 		// The requests that confirm the leader find the new term later.
 		return
 	}
-	mo.me.vetting.recordOwn(mo.name, res.report.Term, token)
+	mo.me.vetting.recordOwn(mo.name, res.report.Term, ch.token)
 	mo.me.engine.AdoptLease(mo.name, lease.Evidence{
-		Leader: up.ID, Term: res.report.Term, ConfirmedAt: askedAt, WritesFrom: ch.writesFrom,
+		Leader: up.ID, Term: res.report.Term, ConfirmedAt: askedAt, WritesFrom: ch.leases.writesFrom,
 	})
 	if !ch.isStopped {
-		go mo.stopOldLeader(ch, res.report.Term)
+		go mo.stopOldLeader(ch, id, res.report.Term)
 	}
 }
 
 // stopOldLeader orders the old leader to step down until it confirms that, is no longer
 // listed, or leads again. Callers outside this fleet may still reach it.
-func (mo *monitor) stopOldLeader(ch *leasedChange, term uint64) {
+func (mo *monitor) stopOldLeader(ch *leaderChange, id string, term uint64) {
 	for range stopTries {
 		time.Sleep(stopInterval)
-		if _, isListed := mo.me.listing().GetUpstreamByID(ch.leader); !isListed || mo.currentLeader() != ch.candidate.ID {
+		old, isListed := mo.me.listing().GetUpstreamByID(ch.leader.ID)
+		if !isListed || mo.currentLeader() != id {
 			return
 		}
-		old := *ch
-		old.term = term - 1
-		if mo.stepDown(&old, stepDownTimeout) {
+		res := mo.me.orders.run(old, orderTimeout, order{Kind: orderStepDown, Term: term})
+		if res.err == nil && !res.report.ClaimsLead {
 			return
 		}
 	}
--- a/io/member/member.go
+++ b/io/member/member.go
@@ -87,6 +87,8 @@
 	metrics  *metric.Metrics
 	monitors *monitors
 	vetting  *vetting
+	orders   *orders
+	formers  *formers
 	pacer    *storePacer
 	shares   shares
 	feed     catalogFeed
@@ -119,6 +121,7 @@
 	me.opinions = newOpinions()
 	me.monitors = newMonitors(me)
 	me.vetting = newVetting(me)
+	me.orders, me.formers = newOrders(me), newFormers()
 	me.pacer = newStorePacer(me)
 	me.metrics = metric.New()
 	me.engine = engine.New(
@@ -252,16 +255,39 @@
 		me.checkReady()
 		me.engine.Sample(memberSampleAge)
 		now := me.deps.Now()
+		me.observeFormers(now)
 		if now.Before(maintainAt) {
 			continue
 		}
 		maintainAt = now.Add(maintainInterval)
 		me.engine.Maintain()
+		me.maintainOrders()
 		me.updateGauges()
 		go me.roster.prune(ctx)
 	}
 }
 
+// observeFormers passes the newest samples of the leaders' positions to the former
+// upstreams.
+func (me *Member) observeFormers(now time.Time) {
+	for _, op := range me.engine.Opinions() {
+		if !op.Sample.Asked.IsZero() {
+			me.formers.observe(op.Group, op.Sample, now)
+		}
+	}
+}
+
+// maintainOrders closes the connections for orders that are idle or lead to upstreams that
+// have ended.
+func (me *Member) maintainOrders() {
+	vi := me.listing()
+	me.orders.retain(func(up group.Upstream) bool {
+		listed, ok := vi.GetUpstreamByID(up.ID)
+		return (ok && listed.IsSameIncarnation(up)) || me.formers.mayRun(up)
+	})
+	me.orders.sweep()
+}
+
 const (
 	// coordinatorSampleAge is the age of a sample of a leader's position at which the
 	// coordinator probes the leader for a new one.
--- a/io/member/member_test.go
+++ b/io/member/member_test.go
@@ -147,24 +147,39 @@
 // Checks the rules of spec/handover.pml that a monitor follows.
 func TestChangeWaitsForUnansweredCalls(t *testing.T) {
 	now := time.Unix(1_000_000, 0)
-	ap := appointments{spentToken: 5, lateUnfreezeUntil: now.Add(time.Second)}
-	// A call with token 5 was refused or not answered.
-	require.ErrorIs(t, ap.checkChange(5, elect.Leaving, now), errTokenSpent)
-	require.NoError(t, ap.checkChange(6, elect.Leaving, now))
+	ap := appointments{spentToken: 5, lateCallUntil: now.Add(time.Second), lateUnfreezeUntil: now.Add(time.Second)}
+	// A call with token 5 was not answered and may still be carried out.
+	require.ErrorIs(t, ap.checkToken(5, elect.Leaving, now), errTokenSpent)
+	require.ErrorIs(t, ap.checkToken(5, elect.Dead, now), errTokenSpent)
+	require.NoError(t, ap.checkToken(6, elect.Leaving, now))
+	require.ErrorIs(t, ap.checkToken(5, elect.Leaving, now.Add(time.Second)), errTokenSpent)
+	require.NoError(t, ap.checkToken(5, elect.Dead, now.Add(time.Second)))
 	// An order to unfreeze was not answered and may still be carried out.
-	require.ErrorIs(t, ap.checkChange(6, elect.Crowded, now), errUnconfirmedUnfreeze)
-	require.NoError(t, ap.checkChange(6, elect.Crowded, now.Add(time.Second)))
-	// A dead leader acknowledges nothing more.
-	require.NoError(t, ap.checkChange(5, elect.Dead, now))
-
-	frozen := map[string]orderResult{"a": {report: pool.Report{FrozenTerm: 3}}, "b": {}}
-	require.ErrorIs(t, ap.checkReplicas(frozen, elect.Leaving), errForeignFreeze)
-	require.NoError(t, ap.checkReplicas(frozen, elect.Dead))
-	require.NoError(t, ap.checkReplicas(map[string]orderResult{"a": {}, "b": {err: errBehind}}, elect.Leaving))
+	for _, reason := range []elect.Reason{elect.Crowded, elect.Leaving, elect.Dead} {
+		require.ErrorIs(t, ap.checkFreeze(reason, false, now), errUnconfirmedUnfreeze)
+		require.NoError(t, ap.checkFreeze(reason, false, now.Add(time.Second)))
+	}
+
+	later := now.Add(time.Second)
+	require.ErrorIs(t, ap.checkFreeze(elect.Leaving, true, later), errForeignFreeze)
+	require.NoError(t, ap.checkFreeze(elect.Dead, true, later))
+	require.NoError(t, ap.checkFreeze(elect.Leaving, false, later))
 	// A change whose appointment was not answered is continued.
 	ap.pendingCandidate = "b"
-	require.NoError(t, ap.checkChange(5, elect.Unfinished, now))
-	require.NoError(t, ap.checkReplicas(frozen, elect.Unfinished))
+	require.NoError(t, ap.checkToken(5, elect.Unfinished, now))
+	require.NoError(t, ap.checkFreeze(elect.Unfinished, true, later))
+}
+
+// A replica counts as frozen by another coordinator unless this member has ordered it.
+func TestForeignFreezeIsOneThatThisMemberHasNotOrdered(t *testing.T) {
+	tm := newTestMember()
+	mo := tm.monitors.get("g", tm.now)
+	results := map[string]orderResult{"a": {report: pool.Report{FrozenTerm: 3}}, "b": {}, "c": {err: errNoRelay}}
+	require.True(t, mo.hasForeignFreeze(results, time.Time{}))
+	mo.recordFreeze([]group.Upstream{{ID: "a"}})
+	require.False(t, mo.hasForeignFreeze(results, time.Time{}))
+	require.True(t, mo.hasForeignFreeze(results, tm.now.Add(time.Second)))
+	require.False(t, mo.hasForeignFreeze(map[string]orderResult{"a": {}, "b": {err: errNoRelay}}, time.Time{}))
 }
 
 // Guards against polling without a pause: while there was no configuration, each
--- a/io/member/monitor.go
+++ b/io/member/monitor.go
@@ -2,20 +2,16 @@
 
 import (
 	"context"
+	"slices"
 	"sync"
 	"time"
 
-	"github.com/cockroachdb/errors"
-
 	"banyanspring/core/codes"
 	"banyanspring/core/elect"
 	"banyanspring/core/event"
 	"banyanspring/core/group"
-	"banyanspring/core/posn"
-	"banyanspring/core/share"
 	"banyanspring/io/delay"
 	"banyanspring/io/engine"
-	"banyanspring/io/pool"
 )
 
 const (
@@ -27,9 +23,6 @@
 	// probeTimeout bounds one probe. A probe takes no slot on the upstream, so it
 	// is answered within the round trip even under load.
 	probeTimeout = 300 * time.Millisecond
-	// orderTimeout bounds an order (a request for a report, to freeze or to unfreeze),
-	// which waits for a slot on the upstream.
-	orderTimeout = 700 * time.Millisecond
 	// appointTimeout bounds one call to the platform that appoints a leader.
 	appointTimeout = 500 * time.Millisecond
 	// takeoverTimeout bounds the wait for an appointed upstream to lead. Promotions
@@ -41,17 +34,21 @@
 	// further failure up to changeRetryMax.
 	changeRetryMin = 100 * time.Millisecond
 	changeRetryMax = 1600 * time.Millisecond
+	// urgentRetryMax replaces changeRetryMax while callers wait or a leader is leaving.
+	urgentRetryMax = 400 * time.Millisecond
+	// refusedRetry is the pause after a refused appointment, longer than a promotion takes.
+	refusedRetry = 1300 * time.Millisecond
 	// frozenCheckDelay is the time from the start of monitoring a group to the check
 	// for replicas that the previous coordinator left frozen. By then its appointment
 	// calls, which rely on the freeze, can no longer be carried out.
 	frozenCheckDelay = maxOrderDelay
-	// frozenCheckRetry is the time to the next check if an order to unfreeze failed.
-	frozenCheckRetry = time.Second
-	// catchUpTries is how often it is checked whether a candidate has received as much
-	// as the frozen replicas.
-	catchUpTries = 4
-	// catchUpPause is the time between two such checks.
-	catchUpPause = 25 * time.Millisecond
+	// frozenCheckRetry is the time to the next check if an order to unfreeze failed or the
+	// leader was not heard from within frozenCheckSilence.
+	frozenCheckRetry   = time.Second
+	frozenCheckSilence = 500 * time.Millisecond
+	// formerCheckInterval is the time between two checks whether the former upstreams of
+	// a group have ended.
+	formerCheckInterval = 500 * time.Millisecond
 )
 
 // electTiming applies to all groups.
@@ -109,10 +106,7 @@
 	event.Log(mos.me.log, event.DutyLeft, "token", token)
 	mos.mu.Lock()
 	defer mos.mu.Unlock()
-	for name, mo := range mos.groups {
-		mo.close()
-		delete(mos.groups, name)
-	}
+	clear(mos.groups)
 }
 
 func (mos *monitors) get(name string, now time.Time) *monitor {
@@ -120,7 +114,7 @@
 	defer mos.mu.Unlock()
 	mo := mos.groups[name]
 	if mo == nil {
-		mo = &monitor{me: mos.me, name: name, pools: make(map[string]*pool.Pool), frozenAt: make(map[string]time.Time), watchedSince: now, frozenCheckAt: now.Add(frozenCheckDelay)}
+		mo = &monitor{me: mos.me, name: name, frozenAt: make(map[string]time.Time), watchedSince: now, frozenCheckAt: now.Add(frozenCheckDelay)}
 		mos.groups[name] = mo
 	}
 	return mo
@@ -132,9 +126,6 @@
 	name string
 
 	mu sync.Mutex
-	// pools holds a dedicated pool of one connection for each upstream that was
-	// contacted, so that the monitor works while the regular pools are full.
-	pools map[string]*pool.Pool
 	// leader is the monitored leader.
 	leader string
 	// watchedSince is when the monitor began to monitor this leader.
@@ -152,6 +143,10 @@
 	// check is due.
 	frozenCheckAt time.Time
 	appointments  appointments
+	// stopped is the leader that was stopped for a change that is not finished.
+	stopped stoppedLeader
+	// formersCheckedAt is when the former upstreams were last checked.
+	formersCheckedAt time.Time
 	// frozenAt holds when this member last ordered each upstream to freeze.
 	frozenAt map[string]time.Time
 	// confirmation is the state of the requests that confirm the leader.
@@ -162,15 +157,6 @@
 	retryAt time.Time
 }
 
-func (mo *monitor) close() {
-	mo.mu.Lock()
-	defer mo.mu.Unlock()
-	for id, po := range mo.pools {
-		po.Close()
-		delete(mo.pools, id)
-	}
-}
-
 // currentLeader returns the monitored leader.
 func (mo *monitor) currentLeader() string {
 	mo.mu.Lock()
@@ -185,7 +171,8 @@
 	ups := vi.Members(mo.name)
 	mo.mu.Lock()
 	defer mo.mu.Unlock()
-	mo.dropStalePools(ups)
+	mo.forgetFreezes(ups)
+	mo.checkFormers(now)
 	defer mo.beginFrozenCheck(ups, now)
 	if op.Leader != "" && op.Leader != mo.leader {
 		if mo.leader != "" {
@@ -236,53 +223,57 @@
 	if mo.isChanging || mo.leader == "" || mo.appointments.pendingCandidate != "" || mo.frozenCheckAt.IsZero() || now.Before(mo.frozenCheckAt) {
 		return
 	}
+	if now.Sub(mo.heardAt) > frozenCheckSilence && !mo.me.settings.LeasesRequired {
+		// The leader may have to be replaced, and frozen replicas are a part of that.
+		return
+	}
 	mo.frozenCheckAt = time.Time{}
 	mo.isChanging = true
 	go mo.unfreezeAbandoned(ups, mo.leader)
 }
 
-// dropStalePools closes the connections to upstreams that are no longer listed, or
-// listed as another incarnation; mu is held.
-func (mo *monitor) dropStalePools(ups []group.Upstream) {
-	for id, po := range mo.pools {
-		isListed := false
-		for _, up := range ups {
-			isListed = isListed || up.IsSameIncarnation(po.Upstream())
-		}
-		if !isListed {
-			po.Close()
-			delete(mo.pools, id)
+// forgetFreezes forgets the orders to freeze upstreams that are no longer listed; mu is
+// held.
+func (mo *monitor) forgetFreezes(ups []group.Upstream) {
+	for id := range mo.frozenAt {
+		if !slices.ContainsFunc(ups, func(up group.Upstream) bool { return up.ID == id }) {
 			delete(mo.frozenAt, id)
 		}
 	}
 }
 
-// poolOf returns the monitor's dedicated pool of one connection to an upstream.
-func (mo *monitor) poolOf(up group.Upstream) *pool.Pool {
-	mo.mu.Lock()
-	defer mo.mu.Unlock()
-	po := mo.pools[up.ID]
-	if po == nil {
-		po = pool.New(up, monitorPool, pool.Dependencies{Now: mo.me.deps.Now, Dial: mo.me.deps.Dial, Codec: mo.me.deps.Codec})
-		po.SetShare(share.Share{Quota: 1, Holders: 1})
-		mo.pools[up.ID] = po
+// checkFormers checks in the background whether former upstreams have ended; mu is held.
+func (mo *monitor) checkFormers(now time.Time) {
+	if now.Sub(mo.formersCheckedAt) < formerCheckInterval {
+		return
+	}
+	mo.formersCheckedAt = now
+	for _, fr := range mo.me.formers.ofGroup(mo.name) {
+		if fr.endedAt.IsZero() {
+			go mo.checkFormer(fr)
+		}
 	}
-	return po
 }
 
-// monitorPool bounds the monitor's dedicated pools.
-var monitorPool = pool.Settings{
-	Waiting:        2,
-	ConnectTimeout: probeTimeout,
-	IdleTimeout:    poolIdle,
-	CheckAfter:     idleCheckAfter,
+func (mo *monitor) checkFormer(fr former) {
+	now := mo.me.deps.Now()
+	_, _, err := mo.me.orders.queryLead(fr.upstream, now.Add(probeTimeout))
+	res := orderResult{err: err}
+	isSilent := err != nil && now.Sub(fr.removedAt) >= goneAfter
+	if isSilent && !res.hasEnded() {
+		res = mo.me.orders.relay(fr.upstream, probeTimeout, order{Kind: orderStatus})
+		isSilent = res.err != nil
+	}
+	if res.hasEnded() || isSilent {
+		mo.me.formers.markEnded(fr.upstream, mo.me.deps.Now())
+	}
 }
 
 // probeLeader asks the leader whether it still leads, and passes its log position to
 // the engine. The probe takes no slot on the upstream.
 func (mo *monitor) probeLeader(up group.Upstream) {
 	asked := mo.me.deps.Now()
-	at, leads, err := mo.queryLead(up, asked.Add(probeTimeout))
+	at, leads, err := mo.me.orders.queryLead(up, asked.Add(probeTimeout))
 	if err == nil && leads {
 		// The monitor's dedicated connection provides fresh samples of the leader's
 		// position also while the regular pools are full. Without them all reads would
@@ -300,35 +291,3 @@
 		mo.heardAt = asked
 	}
 }
-
-// queryLead asks an upstream whether it leads, and returns its log position.
-func (mo *monitor) queryLead(up group.Upstream, deadline time.Time) (posn.Position, bool, error) {
-	var leads bool
-	var at posn.Position
-	err := mo.withConn(up, deadline, func(co *pool.Conn) error {
-		results, err := co.Exchange(pool.LeadershipProbe, deadline)
-		if err == nil {
-			leads, at = results[0].Code == codes.OK, results[0].Position
-		}
-		return err
-	})
-	return at, leads, err
-}
-
-// withConn runs work on the monitor's dedicated connection to an upstream. An error
-// other than a refusal closes the connection.
-func (mo *monitor) withConn(up group.Upstream, deadline time.Time, work func(co *pool.Conn) error) error {
-	po := mo.poolOf(up)
-	co, err := po.Acquire(pool.ConnRequest{Caller: mo.name, QueueDeadline: deadline, Deadline: deadline})
-	if err != nil {
-		return err
-	}
-	err = work(co)
-	var ref *codes.Refusal
-	if err != nil && !errors.As(err, &ref) {
-		po.Discard(co)
-		return err
-	}
-	po.Release(co)
-	return err
-}
--- /dev/null
+++ b/io/member/order_test.go
@@ -0,0 +1,111 @@
+package member
+
+import (
+	"context"
+	"encoding/json"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/stretchr/testify/require"
+
+	"banyanspring/core/codes"
+	"banyanspring/core/group"
+	"banyanspring/io/pool"
+)
+
+// newCutOffMember returns a member that reaches other members but no upstream.
+func newCutOffMember(t *testing.T) *testMember {
+	t.Helper()
+	tm := newTestMember()
+	tm.deps.Now = time.Now
+	tm.deps.Dial = func(ctx context.Context, address string) (net.Conn, error) {
+		if strings.HasPrefix(address, "db") {
+			return nil, errors.New("no route")
+		}
+		return (&net.Dialer{}).DialContext(ctx, "tcp", address)
+	}
+	return tm
+}
+
+// addRelay adds a member to the roster that answers orders with the reply.
+func (tm *testMember) addRelay(t *testing.T, name string, re orderReply) *orderQuery {
+	t.Helper()
+	var got orderQuery
+	server := httptest.NewServer(http.HandlerFunc(func(rw http.ResponseWriter, rq *http.Request) {
+		require.Equal(t, orderPath, rq.URL.Path)
+		require.NoError(t, json.NewDecoder(rq.Body).Decode(&got))
+		_ = json.NewEncoder(rw).Encode(re)
+	}))
+	t.Cleanup(server.Close)
+	value, err := json.Marshal(entry{Name: name, Address: server.Listener.Addr().String(), Domain: "there"})
+	require.NoError(t, err)
+	tm.listed++
+	tm.roster.replace([]Object{{Name: name, Revision: 5, Value: value}}, tm.listed)
+	return &got
+}
+
+// The coordinator may be cut off from a leader that callers still reach through other
+// members.
+func TestOrderReachesAnUpstreamThroughAnotherMember(t *testing.T) {
+	tm := newCutOffMember(t)
+	got := tm.addRelay(t, "other", orderReply{Report: pool.Report{Term: 3, LedTerm: 3, Received: at(9)}})
+	up := group.Upstream{ID: "db", Address: "db:1", Group: "g", Incarnation: 4}
+	or := order{Kind: orderStepDown, Term: 4}
+	res := tm.orders.runAnyhow(up, orderTimeout, 0, or)
+	require.NoError(t, res.err)
+	require.Equal(t, "other", res.via)
+	require.Equal(t, pool.Report{Term: 3, LedTerm: 3, Received: at(9)}, res.report)
+	require.Equal(t, up, got.Upstream)
+	require.Equal(t, or, got.Order)
+}
+
+func TestOrderFailsIfNobodyReachesTheUpstream(t *testing.T) {
+	tm := newCutOffMember(t)
+	tm.addRelay(t, "other", orderReply{Error: "no route either"})
+	res := tm.orders.runAnyhow(group.Upstream{ID: "db", Address: "db:1"}, 50*time.Millisecond, 0, order{Kind: orderStatus})
+	require.Error(t, res.err)
+	require.False(t, res.hasEnded())
+}
+
+// An order to unfreeze that is carried out twice could end a later freeze.
+func TestOrderToUnfreezeIsNotPassedOn(t *testing.T) {
+	tm := newCutOffMember(t)
+	for _, body := range []string{
+		`{"upstream":{"id":"db"},"order":{"kind":"unfreeze"}}`, `{"order":{"kind":"status"}}`, `{`, `{"order":"` + strings.Repeat("x", maxOrderBytes) + `"}`,
+	} {
+		rec := httptest.NewRecorder()
+		tm.orders.serve(rec, httptest.NewRequest(http.MethodPost, orderPath, strings.NewReader(body)))
+		require.Equal(t, http.StatusBadRequest, rec.Code)
+	}
+}
+
+// A pool that was closed here says nothing of the upstream's process.
+func TestOnlyTheUpstreamsAddressShowsThatItHasEnded(t *testing.T) {
+	refused := errors.Mark(codes.Refuse(codes.UpstreamUnreached, "refused"), pool.ErrConnectionRefused)
+	other := errors.Mark(codes.Refuse(codes.UpstreamReplaced, "other"), pool.ErrOtherUpstream)
+	require.True(t, orderResult{err: refused}.hasEnded())
+	require.True(t, orderResult{err: other}.hasEnded())
+	require.False(t, orderResult{err: codes.Refuse(codes.UpstreamReplaced, "the pool is closed")}.hasEnded())
+	require.False(t, orderResult{err: codes.Refuse(codes.UpstreamUnreached, "timeout")}.hasEnded())
+	require.False(t, orderResult{}.hasEnded())
+}
+
+func TestRelaysAreTheUpstreamsNeighboursFirst(t *testing.T) {
+	tm := newTestMember()
+	tm.list("there", "a", "b", "c")
+	names := func() []string {
+		var out []string
+		for _, en := range tm.roster.relays("there") {
+			out = append(out, en.Name)
+		}
+		return out
+	}
+	require.Equal(t, []string{"a", "b", "c"}, names())
+	tm.list("there", strings.Split("abcdefghijklmnop", "")...)
+	require.Len(t, names(), maxDomainRelays)
+}
--- a/io/member/peer.go
+++ b/io/member/peer.go
@@ -116,6 +116,8 @@
 	MembersMs int64          `json:"members_ms,omitempty"`
 	// Evidence is the newest evidence on each group's leader.
 	Evidence []wireOpinion `json:"evidence"`
+	// Ended holds the upstreams that are no longer listed and have ended.
+	Ended []wireEnded `json:"ended,omitempty"`
 }
 
 // hasLargeLists reports whether the listing and the list of members have more than
@@ -172,6 +174,7 @@
 	mux := http.NewServeMux()
 	mux.HandleFunc("POST "+exchangePath, ps.handle)
 	mux.HandleFunc("GET "+catalogPath, ps.serveCatalog)
+	mux.HandleFunc("POST "+orderPath, ps.me.orders.serve)
 	ps.me.serveMetrics(mux)
 	ln, err := net.Listen("tcp", ps.me.settings.PeerAddress)
 	if err != nil {
@@ -211,6 +214,7 @@
 		CatalogMs: ageMs(me.catalogAt.load(), now),
 		ListingMs: ageMs(me.listingAt.load(), now),
 		Evidence:  me.evidence(now),
+		Ended:     me.formers.ended(),
 
 		IsReceiving: me.feed.isReceiving(now),
 		// Read before the configuration itself, as CatalogMs is, so that they hold for it.
@@ -421,6 +425,7 @@
 		me.listingAt.advance(asked.Add(-millis(re.ListingMs)))
 	}
 	me.addEvidence(re.Evidence, asked)
+	me.formers.adoptEnded(re.Ended, me.deps.Now())
 }
 
 // evidence returns this member's newest evidence on each group's leader.
--- a/io/member/roster.go
+++ b/io/member/roster.go
@@ -586,6 +586,38 @@
 	return out
 }
 
+// count returns the number of known members.
+func (ro *roster) count() int {
+	ro.mu.Lock()
+	defer ro.mu.Unlock()
+	return len(ro.members)
+}
+
+// relays returns members that may reach an upstream of the failure domain: its own first,
+// then the others. In a large fleet these are some of each domain.
+func (ro *roster) relays(domain string) []entry {
+	ro.mu.Lock()
+	defer ro.mu.Unlock()
+	var near, far []entry
+	count := make(map[string]int)
+	ranked := ro.ranked()
+	isLarge := len(ranked)-1 > maxOrderRelays
+	for _, kn := range ranked {
+		en := kn.entry
+		if en.Name == ro.self.Name || (isLarge && count[en.Domain] == maxDomainRelays) {
+			continue
+		}
+		count[en.Domain]++
+		if en.Domain == domain {
+			near = append(near, en)
+		} else {
+			far = append(far, en)
+		}
+	}
+	out := append(near, far...)
+	return out[:min(len(out), maxOrderRelays)]
+}
+
 // ranked returns this member and all reachable ones, the first in rank first; mu is
 // held.
 func (ro *roster) ranked() []*knownMember {
--- a/io/member/watch.go
+++ b/io/member/watch.go
@@ -270,6 +270,27 @@
 	return vi.Revision, nil
 }
 
+// refreshListing reads the listing once for a decision that needs it up to date. It returns
+// an error if the store does not answer soon.
+func (me *Member) refreshListing(ctx context.Context) error {
+	ctx, cancel := context.WithTimeout(ctx, refreshTimeout)
+	defer cancel()
+	vi, _, err := me.deps.Store.ListUpstreams(ctx)
+	if err != nil {
+		return err
+	}
+	me.updateView(func(old group.View) group.View {
+		if vi.Revision < old.Revision {
+			return old
+		}
+		return vi
+	})
+	return nil
+}
+
+// refreshTimeout bounds refreshListing, on which a change of leader waits.
+const refreshTimeout = 150 * time.Millisecond
+
 // awaitListing waits for changes of the listing and applies them. The wait depends on
 // ApplyBound, as the configuration's does, although the listing's freshness depends on
 // DrainBound: if DrainBound is much shorter than ApplyBound, the listing is no longer
@@ -314,6 +335,7 @@
 	}
 	me.view = next
 	if len(changed)+len(gone) > 0 {
+		me.formers.update(old, next, me.deps.Now())
 		me.engine.SetView(next)
 	}
 }
