Replace a leaving leader without waiting since the last change

A primary that left within 6 s after its promotion was used for over 7 s after it had announced its shutdown (DRAIN): MinChangeInterval, which keeps leadership from flapping, held for planned leaves too, and a promotion takes 0.6 to 1 s more.

The interval no longer applies to a leaving leader: planned leaves come one by one.

--- a/core/elect/elect.go
+++ b/core/elect/elect.go
@@ -61,7 +61,7 @@
 	// MaxOpinionAge is the maximum age of an opinion.
 	MaxOpinionAge time.Duration
 	// MinChangeInterval is the minimum time between two changes of leader, so that leadership
-	// does not flap. It does not apply to a dead leader.
+	// does not flap. It does not apply to a leader that is dead or leaving.
 	MinChangeInterval time.Duration
 }
 
@@ -169,12 +169,13 @@
 	if silence > ti.SilenceTimeout || (ev.Refused && silence > ti.RefusedTimeout) {
 		return Dead
 	}
+	if ev.IsLeaving {
+		return Leaving
+	}
 	if !ev.ChangedAt.IsZero() && now.Sub(ev.ChangedAt) < ti.MinChangeInterval {
 		return None
 	}
 	switch {
-	case ev.IsLeaving:
-		return Leaving
 	case su.isUnreached():
 		return Unreached
 	case su.stalled >= minStalledWrites && now.Sub(su.writeAcknowledgedAt) > ti.PartialFailureTimeout:
--- a/core/elect/elect_test.go
+++ b/core/elect/elect_test.go
@@ -87,3 +87,10 @@
 	ev := Evidence{IsListed: true, HeardAt: now, Opinions: []Opinion{{Leader: "a", ReceivedAt: start, UnreachedSince: start, StalledWrites: 5}}}
 	require.Equal(t, None, ReplacementReason(ev, "a", timing, now))
 }
+
+// A planned leave has a deadline, which no pause between two changes may use up.
+func TestLeavingLeaderIsReplacedSoonAfterAChange(t *testing.T) {
+	now := after(time.Second)
+	ev := Evidence{IsListed: true, IsLeaving: true, HeardAt: now, ChangedAt: start}
+	require.Equal(t, Leaving, ReplacementReason(ev, "a", timing, now))
+}
