Promote the last database of a group

A group of which one database was listed was not monitored any more, so that it stayed without a primary if the last but one to leave had led it. A change now begins as soon as the listing has an upstream other than the leader. TestLastDatabaseOfAGroupIsPromoted failed before after 34 s with "Condition never satisfied", and passes.

--- a/io/member/monitor.go
+++ b/io/member/monitor.go
@@ -209,7 +209,7 @@
 	if reason == elect.None && mo.isAbandoned(now) {
 		reason = elect.Unfinished
 	}
-	if reason == elect.None || now.Before(mo.retryAt) || len(ups) < 2 {
+	if reason == elect.None || now.Before(mo.retryAt) || len(upstreamsExcept(ups, mo.leader)) == 0 {
 		return
 	}
 	event.Log(mo.me.log, event.PrimarySuspected, "group", mo.name, "upstream", mo.leader, "reason", string(reason),
