Use a leaving leader only within its drain bound

A leaving upstream that alone holds acknowledged writes is promoted, and leads until another one has received them.

An instance sends new statements to a leaving leader for three quarters of the bound, counted from the last time at which its listing showed the upstream as staying; an instance that has started meanwhile sends none.

--- a/io/engine/engine.go
+++ b/io/engine/engine.go
@@ -26,6 +26,9 @@
 	RegionOf map[string]string
 	// Pool configures the connection pools.
 	Pool pool.Settings
+	// DrainBound is the time within which a leaving upstream must stop getting new
+	// statements; zero if there is no bound.
+	DrainBound time.Duration
 	// LeasesRequired is true if a replaced leader may go on accepting statements as
 	// leader, so that a leader is used only under a lease (see package lease).
 	LeasesRequired bool
@@ -107,8 +110,9 @@
 }
 
 // SetView replaces the list of upstreams. Pools of upstreams that are no longer
-// listed, or that another incarnation replaces under the same ID, are closed.
-func (en *Engine) SetView(vi group.View) {
+// listed, or that another incarnation replaces under the same ID, are closed. confirmedAt is
+// when the list before this one was last known to be up to date; zero if there was none.
+func (en *Engine) SetView(vi group.View, confirmedAt time.Time) {
 	en.mu.Lock()
 	defer en.mu.Unlock()
 	en.view = vi
@@ -125,7 +129,7 @@
 			en.applyShare(up)
 			en.upstreams[info.ID] = up
 		}
-		up.info.Store(&info)
+		up.setInfo(info, confirmedAt)
 		seen[info.ID] = true
 		members[info.Group] = append(members[info.Group], up)
 	}
@@ -147,7 +151,7 @@
 	}
 	for name := range members {
 		if next[name] == nil {
-			next[name] = newGroupState(name, en.settings.LeasesRequired)
+			next[name] = newGroupState(name, en.settings)
 		}
 	}
 	now := en.deps.Now()
--- a/io/engine/group.go
+++ b/io/engine/group.go
@@ -44,6 +44,9 @@
 	confirming atomic.Bool
 	// leaderUsedAt is when a statement last needed the leader.
 	leaderUsedAt time.Time
+	// leavingLimit is how long a leaving leader is used; zero if there is no limit. One that
+	// alone holds acknowledged writes may lead longer, until another one has received them.
+	leavingLimit time.Duration
 }
 
 // claim is the evidence for and against a member being the leader.
@@ -57,9 +60,14 @@
 	notLeaderAt time.Time
 }
 
-func newGroupState(name string, leasesRequired bool) *groupState {
+// drainPercent is the percentage of the drain bound for which a leaving leader is used. The
+// listing shows the shutdown late.
+const drainPercent = 75
+
+func newGroupState(name string, se Settings) *groupState {
 	gr := &groupState{name: name, claims: make(map[string]claim), changed: make(chan struct{})}
-	if leasesRequired {
+	gr.leavingLimit = se.DrainBound * drainPercent / 100
+	if se.LeasesRequired {
 		gr.leases = &lease.Track{}
 	}
 	return gr
@@ -140,6 +148,9 @@
 	gr.mu.Lock()
 	defer gr.mu.Unlock()
 	gr.leaderUsedAt = now
+	if gr.leader != nil && gr.leader.hasLeft(gr.leavingLimit, now) {
+		return nil, gr.changed
+	}
 	if gr.leader == nil || gr.leases == nil {
 		return gr.leader, gr.changed
 	}
--- a/io/engine/lease_test.go
+++ b/io/engine/lease_test.go
@@ -26,7 +26,7 @@
 		Share: func(group.Upstream, catlg.Group) share.Share { return share.Share{Quota: 1, Holders: 1} },
 		Pool:  pool.Dependencies{Now: clock},
 	}, Dialect{}, catlg.NewKeeper(), slog.New(slog.NewTextHandler(io.Discard, nil)))
-	en.SetView(group.NewView(1, []group.Upstream{{ID: "a", Group: "g"}}))
+	en.SetView(group.NewView(1, []group.Upstream{{ID: "a", Group: "g"}}), start)
 	return en
 }
 
--- a/io/engine/upstream.go
+++ b/io/engine/upstream.go
@@ -42,6 +42,9 @@
 	wroteAt atomic.Int64
 	// applied is the highest position that the upstream has reported.
 	applied atomic.Pointer[posn.Position]
+	// leavingSince is a time at which the upstream was not leaving yet, or the first one if
+	// none is known, in Unix nanoseconds; 0 if it is not leaving.
+	leavingSince atomic.Int64
 	// behindUntil is when a replica that refused a read because it was behind may
 	// be tried again, in Unix nanoseconds.
 	behindUntil atomic.Int64
@@ -191,6 +194,27 @@
 	return count
 }
 
+// setInfo replaces the upstream's entry of the listing. confirmedAt is when the entry before
+// it was last known to be up to date; zero if there was none.
+func (up *upstream) setInfo(info group.Upstream, confirmedAt time.Time) {
+	up.info.Store(&info)
+	if !info.Leaving {
+		up.leavingSince.Store(0)
+		return
+	}
+	since := int64(1)
+	if !confirmedAt.IsZero() {
+		since = confirmedAt.UnixNano()
+	}
+	up.leavingSince.CompareAndSwap(0, since)
+}
+
+// hasLeft reports whether the upstream has been leaving for at least the limit.
+func (up *upstream) hasLeft(limit time.Duration, now time.Time) bool {
+	since := up.leavingSince.Load()
+	return since != 0 && limit > 0 && now.UnixNano()-since >= int64(limit)
+}
+
 // recordApplied records a position that the upstream reported.
 func (up *upstream) recordApplied(po posn.Position) {
 	for {
--- a/io/engine/upstream_test.go
+++ b/io/engine/upstream_test.go
@@ -49,3 +49,26 @@
 	require.False(t, up.isAvoided(start))
 	require.Zero(t, up.unreachedSince.Load())
 }
+
+// A leaving upstream may lead while it alone has acknowledged writes, but gets no new
+// statement once its drain bound comes near.
+func TestLeavingLeaderIsUsedOnlyWithinTheDrainBound(t *testing.T) {
+	now := time.Unix(1_000_000, 0)
+	gr := newGroupState("g", Settings{DrainBound: 8 * time.Second})
+	up := newUpstream(group.Upstream{ID: "a", ClaimsLeadership: true}, nil)
+	gr.setMembers([]*upstream{up}, now)
+	usable := func(at time.Time) bool {
+		got, _ := gr.usableLeader(at, true)
+		return got == up
+	}
+	require.True(t, usable(now.Add(time.Hour)))
+	up.setInfo(group.Upstream{ID: "a", ClaimsLeadership: true, Leaving: true}, now)
+	up.setInfo(group.Upstream{ID: "a", ClaimsLeadership: true, Leaving: true}, now.Add(5*time.Second))
+	require.True(t, usable(now.Add(6*time.Second-time.Millisecond)))
+	require.False(t, usable(now.Add(6*time.Second)))
+	up.setInfo(group.Upstream{ID: "a", ClaimsLeadership: true}, now)
+	require.True(t, usable(now.Add(time.Hour)))
+	// An instance that has just started does not know since when the upstream is leaving.
+	up.setInfo(group.Upstream{ID: "a", ClaimsLeadership: true, Leaving: true}, time.Time{})
+	require.False(t, usable(now))
+}
--- a/io/member/member.go
+++ b/io/member/member.go
@@ -125,7 +125,7 @@
 	me.pacer = newStorePacer(me)
 	me.metrics = metric.New()
 	me.engine = engine.New(
-		engine.Settings{Site: se.Site, RegionOf: se.RegionOf, Pool: poolSettings, LeasesRequired: se.LeasesRequired},
+		engine.Settings{Site: se.Site, RegionOf: se.RegionOf, Pool: poolSettings, DrainBound: se.DrainBound, LeasesRequired: se.LeasesRequired},
 		engine.Dependencies{
 			Now:   de.Now,
 			Share: me.share, OnStatement: me.observe,
