Answer the statements that would outlast a shutdown

Cause: an instance exits at 93% of the grace period, while a statement that it took during the shutdown (of a new session, until about 4 s after SIGTERM; of an open transaction, until half of the grace period) kept its full timeout. With a timeout above 1.6 s it may still run or wait for a leader then, and its connection was cut without an answer. Change: a statement that arrives during the shutdown is refused at 90% of the grace period at the latest. One that arrived before keeps its timeout. TestShutdownAnswersStatementsThatWouldOutlastIt failed before with 'Expect "COMPLETE i-a/late-2" to match "^ERROR "': with a grace period of 2 s, the answers came 3 s after the statements; it passed in 3 of 3 runs after.

--- a/io/engine/answer.go
+++ b/io/engine/answer.go
@@ -207,6 +207,9 @@
 	now := se.en.deps.Now()
 	timeout := time.Duration(float64(se.target.StatementTimeout) * deadlineShare)
 	rq := &request{session: se, st: st, arrived: now, softDeadline: se.softDeadline(now), deadline: now.Add(timeout)}
+	if ld := se.en.leaving.Load(); ld != nil && ld.answerBy.Before(rq.deadline) {
+		rq.deadline = ld.answerBy
+	}
 	if st.Kind != stmt.Execute {
 		return rq, nil
 	}
--- a/io/engine/engine.go
+++ b/io/engine/engine.go
@@ -89,6 +89,8 @@
 type leaveDeadlines struct {
 	// rollbackAt is when open transactions are rolled back.
 	rollbackAt time.Time
+	// answerBy is when every statement that arrives from now on must have been answered.
+	answerBy time.Time
 }
 
 // New returns an engine without upstreams.
@@ -292,10 +294,10 @@
 }
 
 // Leave starts a graceful shutdown: running requests finish, sessions are closed
-// between requests, and transactions that are still open at the time given are
-// rolled back. It returns at once.
-func (en *Engine) Leave(rollbackAt time.Time) {
-	en.leaving.Store(&leaveDeadlines{rollbackAt: rollbackAt})
+// between requests, transactions that are still open at rollbackAt are rolled back, and
+// statements that arrive from now on are answered by answerBy. It returns at once.
+func (en *Engine) Leave(rollbackAt, answerBy time.Time) {
+	en.leaving.Store(&leaveDeadlines{rollbackAt: rollbackAt, answerBy: answerBy})
 	en.sessionsMu.Lock()
 	defer en.sessionsMu.Unlock()
 	for se := range en.sessions {
--- a/io/member/shutdown.go
+++ b/io/member/shutdown.go
@@ -20,7 +20,7 @@
 	event.Log(me.log, event.DaemonLeaving, "sessions", me.engine.Sessions())
 	go me.roster.leave(ctx)
 	// Open transactions may use the first half of the grace period.
-	me.engine.Leave(began.Add(me.settings.Grace / 2))
+	me.engine.Leave(began.Add(me.settings.Grace/2), began.Add(me.settings.Grace*answerPercent/100))
 	// New sessions are still accepted for a while: a load balancer checks readiness
 	// once a second, needs two failed checks, and also uses members that are not ready
 	// if it has too few others. Then the member waits until no session is open and no
@@ -43,6 +43,9 @@
 	// acceptPercent limits acceptAfterLeave to a percentage of the grace period, which
 	// matters if that period is shorter than about 6 s.
 	acceptPercent = 42
+	// answerPercent is the percentage of the grace period after which a statement that
+	// arrived during the shutdown is refused, so that it is answered before the exit.
+	answerPercent = 90
 	// exitPercent is the percentage of the grace period after which the member exits
 	// even if sessions are open or connections are held for other members. The rest of
 	// the period remains for closing before the forced exit.
