--- a/io/member/member_test.go
+++ b/io/member/member_test.go
@@ -1,10 +1,13 @@
 package member
 
 import (
+	"bytes"
+	"context"
 	"fmt"
 	"io"
 	"log/slog"
 	"slices"
+	"strings"
 	"testing"
 	"time"
 
@@ -124,6 +127,23 @@
 	require.True(t, got.Leaving)
 }
 
+func TestEntriesSkippedByAWatchAreLogged(t *testing.T) {
+	tm := newTestMember()
+	var lines bytes.Buffer
+	tm.log = slog.New(slog.NewTextHandler(&lines, nil))
+	good := group.Upstream{ID: "i-a", Group: "orders"}
+	tm.deps.Store.AwaitUpstreams = func(context.Context, uint64, time.Duration) ([]group.Change, uint64, error) {
+		odd := group.Change{Upstream: group.Upstream{ID: "i-odd"}, IsRemoved: true, Err: errors.New("entry i-odd is odd")}
+		return []group.Change{odd, {Upstream: good}, {Upstream: group.Upstream{ID: "i-gone"}, IsRemoved: true}}, 7, nil
+	}
+	next, err := tm.awaitListing(context.Background(), 1)
+	require.NoError(t, err)
+	require.EqualValues(t, 7, next)
+	require.Equal(t, []group.Upstream{good}, tm.listing().All())
+	require.Equal(t, 1, strings.Count(lines.String(), "entry_skipped"))
+	require.Contains(t, lines.String(), "entry i-odd is odd")
+}
+
 func TestSharesAreCachedPerListOfMembers(t *testing.T) {
 	var sh shares
 	members := []share.Member{{Name: "a"}, {Name: "b"}}
