Bound the proofs of a change of leader in time and in what they assume

An unanswered call now ends the attempt, and none is sent after callBy (TestCandidateThatRestartsEmptyIsNotPromoted). - A refusal ended the wait for an earlier unanswered call; it may only mean that the candidate is down (TestLateCallForACandidateThatWasDownLosesNothing). Replicas stay frozen until that call can no longer be carried out, or one with a newer token was accepted. - The candidate of an unanswered call was kept for ever (TestGroupGetsALeaderWhileThePendingCandidateIsOutOfReach). - One refused connection counted as the end of a replica; partitions refuse too (TestCommitsOfAReplicaThatRefusesConnectionsAreNotLost). All members that answer must be refused. - A member that started after an entry had gone did not know of that replica (TestCommitsOfAReplicaThatACoordinatorNeverSawAreNotLost). The exchanges pass them on. - The answer to the mark was not read; a restarted member's answers were taken for its earlier incarnation's; a remembered stop had no age; half of the members, instead of most, confirmed the listing; replicas that another coordinator had frozen were unfrozen within its call's time.

--- a/io/member/appointments.go
+++ b/io/member/appointments.go
@@ -30,10 +30,12 @@
 	// must not be used for another change, since the platform would still accept that call.
 	lateCandidate string
 	lateCallUntil time.Time
-	// pendingCandidate is the upstream of an unanswered appointment. The replicas
-	// frozen for it stay frozen, and the change is continued with the same token,
-	// until the upstream leads or is no longer listed.
+	// pendingCandidate is the upstream of an unanswered appointment, and pendingBorn its
+	// incarnation. The replicas frozen for it stay frozen, and the change is continued with
+	// the same token, until the upstream leads or has ended, or the call can no longer be
+	// carried out.
 	pendingCandidate string
+	pendingBorn      int64
 	// lateUnfreezeUntil is the time until which an unanswered order may still unfreeze
 	// a replica. Until then no change relies on frozen replicas alone.
 	lateUnfreezeUntil time.Time
@@ -102,43 +104,53 @@
 
 // sendAppointment calls the platform once to appoint an upstream. A refused or
 // unanswered call spends the token; an unanswered one leaves the candidate pending.
-func (mo *monitor) sendAppointment(ctx context.Context, id string, token uint64) error {
+func (mo *monitor) sendAppointment(ctx context.Context, up group.Upstream, token uint64) error {
+	id := up.ID
 	ctx, cancel := context.WithTimeout(ctx, appointTimeout)
 	defer cancel()
 	err := mo.me.deps.Appoint(ctx, Appointment{
 		Group: mo.name, Upstream: id, Holder: mo.me.settings.Name, Token: token,
 	})
 	event.Log(mo.me.log, event.AppointAnswered, "group", mo.name, "candidate", id, "token", token, "error", errText(err))
-	if err == nil || IsErrAppointDeferred(err) {
+	if IsErrAppointDeferred(err) {
 		return err
 	}
 	mo.mu.Lock()
 	defer mo.mu.Unlock()
+	if err == nil {
+		if token > mo.appointments.spentToken {
+			// The platform refuses an unanswered call with a lower token from now on.
+			mo.appointments.lateCallUntil = time.Time{}
+		}
+		return nil
+	}
 	mo.appointments.spentToken = max(mo.appointments.spentToken, token)
 	if IsErrAppointRefused(err) {
-		// The platform will refuse any other call with this token that is in
-		// flight.
-		mo.appointments.pendingCandidate, mo.appointments.lateCallUntil = "", time.Time{}
+		// Another candidate may be appointed. An earlier call may still be carried out: a
+		// refusal may mean that the candidate is not running at the moment.
+		mo.appointments.pendingCandidate = ""
 		return err
 	}
-	mo.appointments.pendingCandidate = id
+	mo.appointments.pendingCandidate, mo.appointments.pendingBorn = id, up.Incarnation
 	mo.appointments.lateCandidate, mo.appointments.lateCallUntil = id, mo.me.deps.Now().Add(maxOrderDelay)
 	return err
 }
 
 // unfinishedReason returns elect.Unfinished if a change must be continued, because its
 // appointment was not answered or the leader was stopped for it, and elect.None otherwise.
-// It clears the pending candidate once it leads or has ended; mu is held.
+// It clears the pending candidate once it leads or has ended, or its call can no longer be
+// carried out; mu is held.
 func (mo *monitor) unfinishedReason(vi group.View, leader string, now time.Time) elect.Reason {
 	pending := mo.appointments.pendingCandidate
-	_, isListed := vi.GetUpstreamByID(pending)
+	listed, isListed := vi.GetUpstreamByID(pending)
+	hasEnded := !isListed && !mo.me.formers.mayRunByID(mo.name, pending)
+	hasRestarted := isListed && listed.Incarnation != mo.appointments.pendingBorn
 	switch {
 	case pending == "":
 	case pending == leader && mo.stopped.id != leader:
 		mo.appointments.pendingCandidate = ""
-	case !isListed && !mo.me.formers.mayRunByID(mo.name, pending):
-		// The upstream's log is gone, and the platform refuses the call when it
-		// processes it. The replicas frozen for this change must be unfrozen.
+	case hasEnded, hasRestarted, !now.Before(mo.appointments.lateCallUntil):
+		// The replicas frozen for this change must be unfrozen.
 		mo.appointments.pendingCandidate = ""
 		mo.frozenCheckAt = now
 	default:
--- a/io/member/change_freeze.go
+++ b/io/member/change_freeze.go
@@ -26,6 +26,9 @@
 	results := mo.sendToReplicas(ch, orderTimeout, order{Kind: orderFreeze, Term: ch.term + 1})
 	ch.confirmFreeze(results)
 	mo.logStep("freeze", "the leader must not acknowledge anything more through a replica", results)
+	if id, ok := mo.restartedSince(ch); ok {
+		return errors.Wrap(errRestarted, id)
+	}
 	mo.freezeJoined(ch)
 	if res := <-stopped; res.err == nil {
 		mo.applyStop(ch, res)
@@ -36,11 +39,11 @@
 	return nil
 }
 
-// confirmListing reads the listing again. It returns an error if neither the store nor half
-// of the members confirm the listing: it may lack upstreams through which the leader
+// confirmListing reads the listing again. It returns an error if neither the store nor most
+// members confirm the listing: it may lack upstreams through which the leader
 // acknowledges writes.
 func (mo *monitor) confirmListing() error {
-	if err := mo.me.refreshListing(context.Background()); err != nil && !mo.hearsHalf() {
+	if err := mo.me.refreshListing(context.Background()); err != nil && !mo.hearsMajority() {
 		return errors.Wrap(errListingOld, err.Error())
 	}
 	return nil
@@ -65,18 +68,21 @@
 	mo.logStep("freeze", "the former leader receives the log", map[string]orderResult{ch.leader.ID: ch.leaderResult})
 }
 
-// hearsHalf reports whether at least half of the members have sent an opinion on the group's
-// leader lately. A member that hears from fewer and does not reach the store may lack
-// upstreams in its listing.
-func (mo *monitor) hearsHalf() bool {
+// hearsMajority reports whether most members have sent an opinion on the group's
+// leader lately, and none a newer listing. A member that hears from fewer and does not reach
+// the store may lack upstreams in its listing.
+func (mo *monitor) hearsMajority() bool {
 	heard := 1
 	now := mo.me.deps.Now()
+	if now.Sub(mo.me.newerListingAt.load()) <= maxOpinionAge {
+		return false
+	}
 	for _, op := range mo.me.opinions.forGroup(mo.name) {
 		if now.Sub(op.ReceivedAt) <= maxOpinionAge {
 			heard += max(1, op.Count)
 		}
 	}
-	return 2*heard >= mo.me.roster.count()
+	return 2*heard > mo.me.roster.count()
 }
 
 // stopSilentLeader orders a leader that did not answer the survey to step down. It returns
@@ -120,6 +126,17 @@
 	return out
 }
 
+// restartedSince returns a member of the change that is listed as another incarnation now:
+// what its earlier one had received is not known.
+func (mo *monitor) restartedSince(ch *leaderChange) (string, bool) {
+	for _, up := range mo.me.listing().Members(mo.name) {
+		if old, ok := ch.upstreamByID(up.ID); ok && !up.IsSameIncarnation(old) {
+			return up.ID, true
+		}
+	}
+	return "", false
+}
+
 // freezeJoined freezes the upstreams that joined the group since the survey: a leader that
 // has not stopped acknowledges writes because of them until the new one leads.
 func (mo *monitor) freezeJoined(ch *leaderChange) {
--- a/io/member/change_state.go
+++ b/io/member/change_state.go
@@ -18,7 +18,7 @@
 	isLeaderGone := mo.isGone(ch.leader, ch.leaderResult, now)
 	for _, up := range ch.replicas {
 		re := mo.replicaState(ch, up, ch.results[up.ID])
-		if !re.IsListed && !re.Answered && !mo.me.formers.mayRun(up) {
+		if !re.IsListed && !re.Answered && mo.me.formers.hasEnded(up) {
 			re.HasEnded, re.HasBound = true, isLeaderGone
 		}
 		out.Replicas = append(out.Replicas, re)
--- a/io/member/change_stop.go
+++ b/io/member/change_stop.go
@@ -13,7 +13,7 @@
 func (mo *monitor) recordStopped(ch *leaderChange) {
 	mo.mu.Lock()
 	defer mo.mu.Unlock()
-	mo.stopped = stoppedLeader{ch.leader.ID, ch.term}
+	mo.stopped = stoppedLeader{id: ch.leader.ID, term: ch.term, until: ch.callBy}
 }
 
 func (mo *monitor) forgetStopped() {
@@ -100,12 +100,17 @@
 // nothing more. Another coordinator that finds it frozen chooses the same one.
 func (mo *monitor) markCandidate(ch *leaderChange, candidate elect.Replica) error {
 	up, ok := ch.upstreamByID(candidate.ID)
-	if !ok || mo.isOwnFreeze(up.ID) || up.ID == ch.leader.ID {
+	isMarked := ok && mo.isOwnFreeze(up.ID) && ch.results[up.ID].report.FrozenTerm > ch.term
+	if !ok || isMarked || up.ID == ch.leader.ID {
 		return nil
 	}
 	ch.frozen = []group.Upstream{up}
 	mo.recordFreeze(ch.frozen)
 	res := mo.me.orders.runAnyhow(up, orderTimeout, relayAfter, order{Kind: orderFreeze, Term: ch.term + 1})
 	mo.logStep("mark", "another coordinator must choose the same candidate", map[string]orderResult{up.ID: res})
+	re := res.report
+	if res.err == nil && (re.FrozenTerm == 0 || re.ClaimsLead || re.Term != ch.term || re.Received.Compare(candidate.Received) < 0) {
+		return errNotMarked
+	}
 	return res.err
 }
--- a/io/member/change_survey.go
+++ b/io/member/change_survey.go
@@ -1,9 +1,11 @@
 package member
 
 import (
+	"slices"
 	"time"
 
 	"banyanspring/core/elect"
+	"banyanspring/core/group"
 	"banyanspring/io/pool"
 )
 
@@ -46,11 +48,20 @@
 		return mo.checkLeasedChange(ch)
 	}
 	if mo.hasForeignFreeze(ch.results, time.Time{}) {
+		mo.deferUnfreeze()
 		ch.adopted = ch.onlyReplica(func(re pool.Report) bool { return re.FrozenTerm > 0 })
 	}
 	return nil
 }
 
+// deferUnfreeze puts off the next check for frozen replicas: a call of another coordinator
+// that relies on them may be in flight.
+func (mo *monitor) deferUnfreeze() {
+	mo.mu.Lock()
+	defer mo.mu.Unlock()
+	mo.foreignUntil = mo.me.deps.Now().Add(maxOrderDelay)
+}
+
 // onlyReplica returns the ID of the replica whose report fulfils the condition, if it is
 // the only one of several; else an empty string.
 func (ch *leaderChange) onlyReplica(fulfils func(re pool.Report) bool) string {
@@ -95,6 +106,18 @@
 type stoppedLeader struct {
 	id   string
 	term uint64
+	// until is when the stop is no longer a proof unless all replicas answer: another
+	// coordinator may have appointed one that does not.
+	until time.Time
+}
+
+// isProof reports whether the leader of the change has been stopped by an earlier attempt.
+func (sl stoppedLeader) isProof(ch *leaderChange, now time.Time) bool {
+	if sl.id != ch.leader.ID || sl.term != ch.term {
+		return false
+	}
+	isSilent := func(up group.Upstream) bool { return ch.results[up.ID].err != nil }
+	return now.Before(sl.until) || !slices.ContainsFunc(ch.replicas, isSilent)
 }
 
 // checkLeader notes whether the leader was stopped by an earlier attempt. It returns
@@ -109,7 +132,7 @@
 	defer mo.mu.Unlock()
 	if !res.report.ClaimsLead {
 		// If this member has not stopped it, another upstream may have been appointed.
-		ch.isStopped = mo.stopped == stoppedLeader{ch.leader.ID, ch.term}
+		ch.isStopped = mo.stopped.isProof(ch, now)
 		return nil
 	}
 	mo.stopped = stoppedLeader{}
--- a/io/member/former.go
+++ b/io/member/former.go
@@ -105,6 +105,12 @@
 	return slices.ContainsFunc(fo.ofGroup(name), func(fr former) bool { return fr.upstream.ID == id && fr.endedAt.IsZero() })
 }
 
+// hasEnded reports whether the upstream is known to have ended.
+func (fo *formers) hasEnded(up group.Upstream) bool {
+	fr, ok := fo.get(up)
+	return ok && !fr.endedAt.IsZero()
+}
+
 // markEnded records that the upstream's process has ended.
 func (fo *formers) markEnded(up group.Upstream, now time.Time) {
 	fo.mu.Lock()
@@ -136,50 +142,61 @@
 	})
 }
 
-// wireEnded is a former upstream that has ended, on the wire between members.
-type wireEnded struct {
-	Group   string `json:"group"`
-	ID      string `json:"id"`
-	Address string `json:"address"`
-	Born    int64  `json:"born"`
-	// Term and Offset are its bound.
-	Term   uint64 `json:"term"`
-	Offset uint64 `json:"offset"`
+// wireFormer is a former upstream on the wire between members.
+type wireFormer struct {
+	Upstream group.Upstream `json:"upstream"`
+	// RemovedMs is how long ago its entry disappeared.
+	RemovedMs int64 `json:"removed"`
+	// Bound holds the term and the offset of its bound; nil if it has none, since it may be
+	// running.
+	Bound *[2]uint64 `json:"bound,omitempty"`
 }
 
-// ended returns the former upstreams that have a bound, for other members.
-func (fo *formers) ended() []wireEnded {
+// toSend returns the former upstreams that may be running or have a bound, for other members.
+func (fo *formers) toSend(now time.Time) []wireFormer {
 	fo.mu.Lock()
 	defer fo.mu.Unlock()
-	var out []wireEnded
+	var out []wireFormer
 	for _, all := range fo.byGroup {
 		for _, fr := range all {
-			if !fr.hasBound {
+			if !fr.hasBound && !fr.endedAt.IsZero() {
 				continue
 			}
-			up := fr.upstream
-			out = append(out, wireEnded{
-				Group: up.Group, ID: up.ID, Address: up.Address, Born: up.Incarnation, Term: fr.bound.Term.Number, Offset: fr.bound.Offset,
-			})
+			wf := wireFormer{Upstream: fr.upstream, RemovedMs: ageMs(fr.removedAt, now)}
+			if fr.hasBound {
+				wf.Bound = &[2]uint64{fr.bound.Term.Number, fr.bound.Offset}
+			}
+			out = append(out, wf)
 		}
 	}
 	return out
 }
 
-// adoptEnded records what another member knows of former upstreams. Only the coordinator
-// checks whether they have ended, and its successor may not reach their leader any more.
-func (fo *formers) adoptEnded(ended []wireEnded, now time.Time) {
+// adopt records what another member knows of former upstreams. Only the coordinator checks
+// whether they have ended: its successor may not reach their leader any more, and a member
+// that has started later has not seen their entries.
+func (fo *formers) adopt(sent []wireFormer, vi group.View, now time.Time) {
 	fo.mu.Lock()
 	defer fo.mu.Unlock()
-	for _, we := range ended {
-		up := group.Upstream{ID: we.ID, Incarnation: we.Born, Address: we.Address, Group: we.Group}
-		all := fo.byGroup[we.Group]
-		for pos := range all {
-			if fr := &all[pos]; fr.upstream.IsSameIncarnation(up) && !fr.hasBound {
-				fr.bound, fr.hasBound = posn.Position{Term: posn.Term{Number: we.Term}, Offset: we.Offset}, true
-				if fr.endedAt.IsZero() {
-					fr.endedAt = now
-				}
+	for _, wf := range sent {
+		up := wf.Upstream
+		if listed, ok := vi.GetUpstreamByID(up.ID); ok && listed.IsSameIncarnation(up) {
+			continue
+		}
+		all := fo.byGroup[up.Group]
+		pos := slices.IndexFunc(all, func(fr former) bool { return fr.upstream.IsSameIncarnation(up) })
+		if pos < 0 && millis(wf.RemovedMs) > formerMaxAge {
+			continue
+		}
+		if pos < 0 {
+			all = append(all, former{upstream: up, removedAt: now.Add(-millis(wf.RemovedMs))})
+			pos = len(all) - 1
+			fo.byGroup[up.Group] = all
+		}
+		if fr := &all[pos]; wf.Bound != nil && !fr.hasBound {
+			fr.bound, fr.hasBound = posn.Position{Term: posn.Term{Number: wf.Bound[0]}, Offset: wf.Bound[1]}, true
+			if fr.endedAt.IsZero() {
+				fr.endedAt = now
 			}
 		}
 	}
--- a/io/member/former_test.go
+++ b/io/member/former_test.go
@@ -62,7 +62,7 @@
 	tm.formers.markEnded(two, ended)
 	tm.formers.observe("g", evid.Sample{Asked: ended, Position: at(2)}, tm.now)
 	require.False(t, tm.formers.ofGroup("g")[0].hasBound)
-	require.Empty(t, tm.formers.ended())
+	require.Empty(t, tm.formers.toSend(tm.now))
 	tm.formers.observe("g", evid.Sample{Asked: ended.Add(time.Millisecond), Position: at(3)}, tm.now)
 	tm.formers.observe("g", evid.Sample{Asked: ended.Add(time.Second), Position: at(4)}, tm.now)
 	require.Equal(t, at(3), tm.formers.ofGroup("g")[0].bound)
--- a/io/member/leader_change.go
+++ b/io/member/leader_change.go
@@ -17,9 +17,13 @@
 var (
 	errNoToken       = errors.New("this member has no fencing token")
 	errLeaderAnswers = errors.New("the leader answers")
-	errListingOld    = errors.New("the listing may be old: neither the store nor half of the members confirm it")
+	errListingOld    = errors.New("the listing may be old: neither the store nor most members confirm it")
 	errJoined        = errors.New("an upstream joined the group during the change")
+	errRestarted     = errors.New("an upstream has restarted during the change")
 	errOtherChange   = errors.New("the candidate of an unanswered appointment lacks writes that may have been acknowledged")
+	errNotMarked     = errors.New("the candidate has changed since it was chosen")
+	errNotLeading    = errors.New("the appointed candidate did not start to lead in time")
+	errTooLate       = errors.New("the change took so long that another member may have taken it over")
 	errNotStaying    = errors.New("no replica that stays has received what the leader has")
 )
 
@@ -88,9 +92,7 @@
 type leaderChange struct {
 	reason elect.Reason
 	token  uint64
-	// callBy is when the appointment must have been sent if no fence is checked. Later
-	// another member may consider this change abandoned, for example if this one was
-	// suspended.
+	// callBy is when the appointment must have been sent.
 	callBy time.Time
 	view   group.View
 	leader group.Upstream
@@ -290,27 +292,17 @@
 }
 
 // appoint has the platform make the candidate the leader, and waits until it leads. A
-// call that is deferred or not answered is sent again with the same token. Since the
-// platform may still carry out an unanswered call, the candidate is asked whether it
-// leads also after an error. A refused call ends the wait.
+// deferred call is sent again. An unanswered one ends the attempt: it may still be carried
+// out, and is repeated by the next attempt with the same token, after a new proof.
 func (mo *monitor) appoint(ctx context.Context, ch *leaderChange, id string) error {
 	up, ok := ch.upstreamByID(id)
 	if !ok {
 		return errors.Newf("upstream %s is not part of the change", id)
 	}
-	until := mo.me.deps.Now().Add(takeoverTimeout)
-	var lastErr error
-	isAccepted := false
-	for mo.me.deps.Now().Before(until) {
-		if !isAccepted {
-			lastErr = mo.sendAppointment(ctx, id, ch.token)
-			isAccepted = lastErr == nil
-			if IsErrAppointRefused(lastErr) {
-				event.Log(mo.me.log, event.DutyRefused, "group", mo.name, "candidate", id, "token", ch.token, "error", lastErr.Error())
-				mo.me.roster.requestNewToken(ch.token)
-				return lastErr
-			}
-		}
+	if err := mo.sendInTime(ctx, ch, up); err != nil {
+		return err
+	}
+	for until := mo.me.deps.Now().Add(takeoverTimeout); mo.me.deps.Now().Before(until); {
 		now := mo.me.deps.Now()
 		if _, leads, err := mo.me.orders.queryLead(up, now.Add(probeTimeout)); err == nil && leads {
 			mo.me.engine.RecordLeaderProof(mo.name, id, now)
@@ -323,8 +315,25 @@
 			return ctx.Err()
 		}
 	}
-	if lastErr == nil {
-		lastErr = errors.New("the appointed candidate did not start to lead in time")
+	return errNotLeading
+}
+
+// sendInTime sends the appointment until the platform answers, but not after callBy: a proof
+// is no longer good once another coordinator may consider the change abandoned, for example
+// if this instance was suspended.
+func (mo *monitor) sendInTime(ctx context.Context, ch *leaderChange, up group.Upstream) error {
+	for mo.me.deps.Now().Before(ch.callBy) {
+		err := mo.sendAppointment(ctx, up, ch.token)
+		if IsErrAppointRefused(err) {
+			event.Log(mo.me.log, event.DutyRefused, "group", mo.name, "candidate", up.ID, "token", ch.token, "error", err.Error())
+			mo.me.roster.requestNewToken(ch.token)
+		}
+		if !IsErrAppointDeferred(err) {
+			return err
+		}
+		if !delay.Pause(ctx, takeoverPoll) {
+			return ctx.Err()
+		}
 	}
-	return lastErr
+	return errTooLate
 }
--- a/io/member/leased_change.go
+++ b/io/member/leased_change.go
@@ -16,7 +16,6 @@
 var (
 	errTokenUnvetted = errors.New("the token was drawn before the group's present term was known")
 	errUnfrozen      = errors.New("a replica was restarted or unfrozen during the change")
-	errTooLate       = errors.New("the change took so long that another member may have taken it over")
 )
 
 // leasedChange is the part of a change that matters only on platforms on which a replaced
--- a/io/member/member.go
+++ b/io/member/member.go
@@ -97,6 +97,8 @@
 	listener net.Listener
 	// catalogAt and listingAt are when the store last confirmed the local copies.
 	catalogAt, listingAt instant
+	// newerListingAt is when another member last reported a newer listing than this one's.
+	newerListingAt instant
 	// catalogSince is a revision of the store at which no newer configuration than the
 	// active one existed; none if it is not known.
 	catalogSince revision
--- a/io/member/monitor.go
+++ b/io/member/monitor.go
@@ -6,12 +6,15 @@
 	"sync"
 	"time"
 
+	"github.com/cockroachdb/errors"
+
 	"banyanspring/core/codes"
 	"banyanspring/core/elect"
 	"banyanspring/core/event"
 	"banyanspring/core/group"
 	"banyanspring/io/delay"
 	"banyanspring/io/engine"
+	"banyanspring/io/pool"
 )
 
 const (
@@ -145,6 +148,9 @@
 	appointments  appointments
 	// stopped is the leader that was stopped for a change that is not finished.
 	stopped stoppedLeader
+	// foreignUntil is until when a call of another coordinator may be carried out that relies
+	// on replicas which were seen frozen.
+	foreignUntil time.Time
 	// formersCheckedAt is when the former upstreams were last checked.
 	formersCheckedAt time.Time
 	// frozenAt holds when this member last ordered each upstream to freeze.
@@ -223,6 +229,9 @@
 	if mo.isChanging || mo.leader == "" || mo.appointments.pendingCandidate != "" || mo.frozenCheckAt.IsZero() || now.Before(mo.frozenCheckAt) {
 		return
 	}
+	if now.Before(mo.foreignUntil) || now.Before(mo.appointments.lateCallUntil) {
+		return
+	}
 	if now.Sub(mo.heardAt) > frozenCheckSilence && !mo.me.settings.LeasesRequired {
 		// The leader may have to be replaced, and frozen replicas are a part of that.
 		return
@@ -258,15 +267,17 @@
 func (mo *monitor) checkFormer(fr former) {
 	now := mo.me.deps.Now()
 	_, _, err := mo.me.orders.queryLead(fr.upstream, now.Add(probeTimeout))
-	res := orderResult{err: err}
-	isSilent := err != nil && now.Sub(fr.removedAt) >= goneAfter
-	if isSilent && !res.hasEnded() {
-		res = mo.me.orders.relay(fr.upstream, probeTimeout, order{Kind: orderStatus})
-		isSilent = res.err != nil
-	}
-	if res.hasEnded() || isSilent {
-		mo.me.formers.markEnded(fr.upstream, mo.me.deps.Now())
+	switch {
+	case err == nil:
+		return
+	case errors.Is(err, pool.ErrOtherUpstream):
+	case errors.Is(err, pool.ErrConnectionRefused) && mo.me.orders.isRefusedEverywhere(fr.upstream):
+	case now.Sub(fr.removedAt) < goneAfter:
+		return
+	case mo.me.orders.relay(fr.upstream, probeTimeout, order{Kind: orderStatus}).err == nil:
+		return
 	}
+	mo.me.formers.markEnded(fr.upstream, mo.me.deps.Now())
 }
 
 // probeLeader asks the leader whether it still leads, and passes its log position to
--- a/io/member/order.go
+++ b/io/member/order.go
@@ -77,9 +77,13 @@
 	via string
 }
 
-// hasEnded reports whether the upstream's process is known to have ended: its address
-// accepts no connection, or belongs to another upstream.
-func (res orderResult) hasEnded() bool {
+// hasEnded reports whether the upstream's process is known to have ended, since its address
+// belongs to another one. A refused connection is no proof: a network partition may refuse
+// connections too.
+func (res orderResult) hasEnded() bool { return errors.Is(res.err, pool.ErrOtherUpstream) }
+
+// isRefused reports whether the upstream's address accepts no connection.
+func (res orderResult) isRefused() bool {
 	return errors.IsAny(res.err, pool.ErrConnectionRefused, pool.ErrOtherUpstream)
 }
 
@@ -185,7 +189,7 @@
 		res := os.try(up, until, or)
 		isBusy := codes.Is(res.err, codes.QueueFull)
 		isFull := codes.Is(res.err, codes.ConnectionsInUse)
-		if res.err == nil || res.hasEnded() || isFull || (or.Kind == orderUnfreeze && !isBusy) {
+		if res.err == nil || res.isRefused() || isFull || (or.Kind == orderUnfreeze && !isBusy) {
 			return res
 		}
 		if !os.me.deps.Now().Add(busyPause).Before(until) {
@@ -274,10 +278,12 @@
 	TimeoutMs int64          `json:"timeout_ms"`
 }
 
-// orderReply is the upstream's answer; Error is empty if it reported.
+// orderReply is the upstream's answer; Error is empty if it reported. IsRefused is true if its
+// address accepts no connection.
 type orderReply struct {
-	Report pool.Report `json:"report"`
-	Error  string      `json:"error,omitempty"`
+	Report    pool.Report `json:"report"`
+	Error     string      `json:"error,omitempty"`
+	IsRefused bool        `json:"refused,omitempty"`
 }
 
 // errNoRelay is returned if no other member passed an order on.
@@ -287,25 +293,64 @@
 func (os *orders) relay(up group.Upstream, timeout time.Duration, or order) orderResult {
 	ctx, cancel := context.WithTimeout(context.Background(), timeout)
 	defer cancel()
+	for res := range os.askRelays(ctx, up, timeout, or) {
+		if res.err == nil {
+			return res
+		}
+	}
+	return orderResult{err: errNoRelay}
+}
+
+// isRefusedEverywhere reports whether all members that answer find that the upstream's
+// address accepts no connection, and at least one other than this one does.
+func (os *orders) isRefusedEverywhere(up group.Upstream) bool {
+	ctx, cancel := context.WithTimeout(context.Background(), probeTimeout)
+	defer cancel()
+	refused := 0
+	for res := range os.askRelays(ctx, up, probeTimeout, order{Kind: orderStatus}) {
+		if res.isRefused() {
+			refused++
+			continue
+		}
+		if !errors.Is(res.err, errPeerSilent) {
+			return false
+		}
+	}
+	return refused > 0
+}
+
+// errPeerSilent marks the error of a member that did not answer.
+var errPeerSilent = errors.New("the member does not answer")
+
+// askRelays asks other members to pass an order on. The channel receives one result of each
+// and is closed then.
+func (os *orders) askRelays(ctx context.Context, up group.Upstream, timeout time.Duration, or order) <-chan orderResult {
 	relays := os.me.roster.relays(up.Domain)
 	answers := make(chan orderResult, len(relays))
 	qu := orderQuery{Upstream: up, Order: or, TimeoutMs: timeout.Milliseconds()}
+	var wg sync.WaitGroup
 	for _, en := range relays {
+		wg.Add(1)
 		go func() {
+			defer wg.Done()
 			var re orderReply
 			err := os.me.peers.post(ctx, "http://"+en.Address+orderPath, qu, &re)
-			if err == nil && re.Error != "" {
+			switch {
+			case err != nil:
+				err = errors.Mark(err, errPeerSilent)
+			case re.IsRefused:
+				err = errors.Mark(errors.Newf("%s", re.Error), pool.ErrConnectionRefused)
+			case re.Error != "":
 				err = errors.Newf("%s", re.Error)
 			}
 			answers <- orderResult{report: re.Report, err: err, via: en.Name}
 		}()
 	}
-	for range relays {
-		if res := <-answers; res.err == nil {
-			return res
-		}
-	}
-	return orderResult{err: errNoRelay}
+	go func() {
+		wg.Wait()
+		close(answers)
+	}()
+	return answers
 }
 
 // serve passes an order of another member on to an upstream.
@@ -321,7 +366,7 @@
 	}
 	res := os.runForOther(qu.Upstream, min(millis(qu.TimeoutMs), orderTimeout), qu.Order)
 	rw.Header().Set("Content-Type", "application/json")
-	_ = json.NewEncoder(rw).Encode(orderReply{Report: res.report, Error: errText(res.err)})
+	_ = json.NewEncoder(rw).Encode(orderReply{Report: res.report, Error: errText(res.err), IsRefused: res.isRefused()})
 }
 
 // runForOther sends an order of another member to an upstream.
--- a/io/member/order_test.go
+++ b/io/member/order_test.go
@@ -88,7 +88,8 @@
 func TestOnlyTheUpstreamsAddressShowsThatItHasEnded(t *testing.T) {
 	refused := errors.Mark(codes.Refuse(codes.UpstreamUnreached, "refused"), pool.ErrConnectionRefused)
 	other := errors.Mark(codes.Refuse(codes.UpstreamReplaced, "other"), pool.ErrOtherUpstream)
-	require.True(t, orderResult{err: refused}.hasEnded())
+	require.False(t, orderResult{err: refused}.hasEnded())
+	require.True(t, orderResult{err: refused}.isRefused())
 	require.True(t, orderResult{err: other}.hasEnded())
 	require.False(t, orderResult{err: codes.Refuse(codes.UpstreamReplaced, "the pool is closed")}.hasEnded())
 	require.False(t, orderResult{err: codes.Refuse(codes.UpstreamUnreached, "timeout")}.hasEnded())
--- a/io/member/peer.go
+++ b/io/member/peer.go
@@ -116,8 +116,8 @@
 	MembersMs int64          `json:"members_ms,omitempty"`
 	// Evidence is the newest evidence on each group's leader.
 	Evidence []wireOpinion `json:"evidence"`
-	// Ended holds the upstreams that are no longer listed and have ended.
-	Ended []wireEnded `json:"ended,omitempty"`
+	// Formers holds the upstreams that are no longer listed.
+	Formers []wireFormer `json:"formers,omitempty"`
 }
 
 // hasLargeLists reports whether the listing and the list of members have more than
@@ -192,6 +192,9 @@
 	}
 	now := ps.me.deps.Now()
 	ps.me.roster.recordContact(qu.From, !qu.NotJoined, now)
+	if qu.Listing > ps.me.listing().ContentRevision {
+		ps.me.newerListingAt.advance(now)
+	}
 	// The query may have been delayed on the way, so the true ages may be higher than
 	// those computed here. Samples need an upper bound of their age and are not used.
 	for pos := range qu.Opinions {
@@ -214,7 +217,7 @@
 		CatalogMs: ageMs(me.catalogAt.load(), now),
 		ListingMs: ageMs(me.listingAt.load(), now),
 		Evidence:  me.evidence(now),
-		Ended:     me.formers.ended(),
+		Formers:   me.formers.toSend(now),
 
 		IsReceiving: me.feed.isReceiving(now),
 		// Read before the configuration itself, as CatalogMs is, so that they hold for it.
@@ -425,7 +428,7 @@
 		me.listingAt.advance(asked.Add(-millis(re.ListingMs)))
 	}
 	me.addEvidence(re.Evidence, asked)
-	me.formers.adoptEnded(re.Ended, me.deps.Now())
+	me.formers.adopt(re.Formers, me.listing(), me.deps.Now())
 }
 
 // evidence returns this member's newest evidence on each group's leader.
