Appoint a leader where none is known

After all instances had been killed between the stop of a leader and the call, nobody led for good: no upstream was listed as leader, and a group without a known leader was not monitored. A coordinator that has known no leader for 1.5 s now asks all upstreams, adopts one that leads, or freezes all and appoints the most advanced.

--- a/io/member/monitor.go
+++ b/io/member/monitor.go
@@ -39,6 +39,8 @@
 	changeRetryMax = 1600 * time.Millisecond
 	// urgentRetryMax replaces changeRetryMax while callers wait or a leader is leaving.
 	urgentRetryMax = 400 * time.Millisecond
+	// leaderlessTimeout is how long no leader may be known, longer than a promotion takes.
+	leaderlessTimeout = 1500 * time.Millisecond
 	// refusedRetry is the pause after a refused appointment, longer than a promotion takes.
 	refusedRetry = 1300 * time.Millisecond
 	// frozenCheckDelay is the time from the start of monitoring a group to the check
@@ -188,6 +190,9 @@
 		mo.leader, mo.watchedSince, mo.refused = op.Leader, now, false
 		mo.heardAt = time.Time{}
 	}
+	if mo.leader == "" && !mo.isChanging {
+		mo.beginWithoutLeader(ctx, ups, now)
+	}
 	if mo.leader == "" || mo.isChanging {
 		return
 	}
@@ -224,6 +229,18 @@
 	go mo.changeLeader(ctx, reason)
 }
 
+// beginWithoutLeader starts a change if no leader has been known for a while: all instances may
+// have ended after they had stopped the leader. It finds an upstream that leads, or freezes
+// all and appoints one; mu is held.
+func (mo *monitor) beginWithoutLeader(ctx context.Context, ups []group.Upstream, now time.Time) {
+	if now.Sub(mo.watchedSince) < leaderlessTimeout || now.Before(mo.retryAt) || len(ups) == 0 {
+		return
+	}
+	event.Log(mo.me.log, event.PrimarySuspected, "group", mo.name, "upstream", "", "reason", string(elect.Dead))
+	mo.isChanging = true
+	go mo.changeLeader(ctx, elect.Dead)
+}
+
 // beginFrozenCheck starts the check for frozen replicas if it is due; mu is held.
 func (mo *monitor) beginFrozenCheck(ups []group.Upstream, now time.Time) {
 	if mo.isChanging || mo.leader == "" || mo.appointments.pendingCandidate != "" || mo.frozenCheckAt.IsZero() || now.Before(mo.frozenCheckAt) {
