--- a/io/engine/session.go
+++ b/io/engine/session.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"io"
 	"net"
 	"os"
 	"sync"
@@ -259,12 +260,33 @@
 		return rq, true
 	}
 	var ref *codes.Refusal
-	if errors.As(err, &ref) {
-		return rq, se.refuseSession(ref)
+	if !errors.As(err, &ref) {
+		return rq, false
 	}
+	event.Log(se.en.log, event.ProtocolFault, "database", se.database, "detail", ref.Detail)
+	se.refuseSession(ref)
+	se.discardInput()
 	return rq, false
 }
 
+const (
+	// discardTimeout and maxDiscardBytes bound how much a caller's input is read after
+	// a message that could not be read.
+	discardTimeout  = time.Second
+	maxDiscardBytes = 4 << 20
+)
+
+// discardInput ends the session for the caller and reads the rest of its input. If the
+// connection were closed with input that was not read, it would be reset, and the caller
+// might lose answers that were sent.
+func (se *session) discardInput() {
+	if half, ok := se.net.(interface{ CloseWrite() error }); !ok || half.CloseWrite() != nil {
+		return
+	}
+	_ = se.net.SetReadDeadline(time.Now().Add(discardTimeout))
+	_, _ = io.CopyN(io.Discard, se.rd, maxDiscardBytes)
+}
+
 // serve answers one message and reports whether the session continues.
 func (se *session) serve(rq Request) bool {
 	if rq.Kind == Hello {
