Check the messages that homes and their callers exchange

A home encoded the fields of a relayed batch as they came: a CR LF or a blank in a field made another statement of it, as did session values out of order or a text of another kind than the message said. A batch without statements ended the process: the result of its last statement was read at index -1. An answer with fewer results than statements, or with an unknown transaction state, would have ended the caller's instance in the same way, and rows from a home were sent to callers unchecked.

An answer of a home must hold one result for each statement, each of which can be encoded as one answer (Codec.CheckResult); otherwise it counts as a failure of the home. Waits that overflow a duration are bounded.

--- a/core/vars/vars.go
+++ b/core/vars/vars.go
@@ -69,14 +69,21 @@
 	return out
 }
 
-// FromValues returns a session with the variables in the list, which must have the
-// form and the order that Values returns, and without prepared statements.
-func FromValues(list []string) Session {
+// FromValues returns a session with the variables in the list and without prepared
+// statements. It reports false unless the list has the form and the order that Values
+// returns.
+func FromValues(list []string) (Session, bool) {
 	var se Session
-	for pos := 0; pos+1 < len(list); pos += 2 {
+	if len(list)%2 != 0 {
+		return se, false
+	}
+	for pos := 0; pos < len(list); pos += 2 {
+		if pos > 0 && list[pos-2] >= list[pos] {
+			return Session{}, false
+		}
 		se.variables = append(se.variables, variable{name: list[pos], value: list[pos+1]})
 	}
-	return se
+	return se, true
 }
 
 // WithPrepared returns a session with the prepared statement, which replaces one of the
--- a/core/vars/vars_test.go
+++ b/core/vars/vars_test.go
@@ -54,7 +54,9 @@
 				se = se.WithValue(name, val)
 				want[name] = val
 			}
-			require.Equal(rt, se, FromValues(se.Values()))
+			again, ok := FromValues(se.Values())
+			require.True(rt, ok)
+			require.Equal(rt, se, again)
 			for _, st := range co.Align(se) {
 				if st.Kind == stmt.Discard {
 					upstream = map[string]string{}
--- a/io/pool/conn.go
+++ b/io/pool/conn.go
@@ -21,6 +21,12 @@
 	AppendHello func(buf []byte, group, id string) []byte
 	// AppendStatement encodes a statement.
 	AppendStatement func(buf []byte, st stmt.Statement) []byte
+	// CheckStatement returns an error unless the statement is encoded as exactly one
+	// message that is read as the same statement. It is called for statements that come
+	// from other instances.
+	CheckStatement func(st stmt.Statement) error
+	// CheckResult is the same for a result and the answer that is sent to a caller.
+	CheckResult func(res stmt.Result) error
 	// ReadHello reads the answer to the first message.
 	ReadHello func(rd *bufio.Reader) (stmt.Result, error)
 	// ReadResult reads the complete answer to one statement.
--- a/io/pool/message.go
+++ b/io/pool/message.go
@@ -2,8 +2,11 @@
 
 import (
 	"math"
+	"slices"
 	"time"
 
+	"github.com/cockroachdb/errors"
+
 	"banyanspring/core/codes"
 	"banyanspring/core/posn"
 	"banyanspring/core/stmt"
@@ -67,6 +70,9 @@
 	Offset  uint64
 }
 
+// maxWaitMs bounds the waits in a message, so that none overflows a time.Duration.
+const maxWaitMs = int64(time.Hour / time.Millisecond)
+
 // noSoftDeadline is the SoftDeadlineMs of a statement without a latency objective.
 const noSoftDeadline = math.MinInt64
 
@@ -79,7 +85,9 @@
 
 // connRequest returns the request for a connection for the batch.
 func (msg batchMessage) connRequest(now time.Time) ConnRequest {
-	after := func(ms int64) time.Time { return now.Add(time.Duration(ms) * time.Millisecond) }
+	after := func(ms int64) time.Time {
+		return now.Add(time.Duration(min(max(ms, -maxWaitMs), maxWaitMs)) * time.Millisecond)
+	}
 	cr := ConnRequest{Caller: msg.Caller, QueueDeadline: after(msg.QueueWaitMs), Deadline: after(msg.TotalWaitMs)}
 	if msg.SoftDeadlineMs != noSoftDeadline {
 		cr.SoftDeadline = after(msg.SoftDeadlineMs)
@@ -87,15 +95,23 @@
 	return cr
 }
 
-func fromMessages(msgs []resultMessage) []stmt.Result {
+// fromMessages returns the results of a home, of which there must be count.
+func fromMessages(msgs []resultMessage, count int, co Codec) ([]stmt.Result, error) {
+	if len(msgs) != count {
+		return nil, errors.Newf("%d results for %d statements", len(msgs), count)
+	}
 	out := make([]stmt.Result, 0, len(msgs))
 	for _, msg := range msgs {
-		out = append(out, stmt.Result{
+		res := stmt.Result{
 			Rows: msg.Rows, Receipt: msg.Receipt, Code: codes.Code(msg.Code), Detail: msg.Detail, State: stmt.State(msg.State),
 			Position: posn.Position{Term: posn.Term{Number: msg.Term}, Offset: msg.Offset},
-		})
+		}
+		if err := co.CheckResult(res); err != nil {
+			return nil, err
+		}
+		out = append(out, res)
 	}
-	return out
+	return out, nil
 }
 
 func toMessages(results []stmt.Result) []resultMessage {
@@ -109,9 +125,14 @@
 	return out
 }
 
-func toBatch(msg batchMessage) Batch {
+// toBatch returns the batch of a message. The error says why it must not be run.
+func toBatch(msg batchMessage, co Codec) (Batch, error) {
+	session, ok := vars.FromValues(msg.Values)
+	if !ok {
+		return Batch{}, errors.New("session values are not in order")
+	}
 	ba := Batch{
-		Vars:       vars.FromValues(msg.Values),
+		Vars:       session,
 		Prepared:   vars.Prepared{Writes: msg.PreparedWrites, Text: msg.PreparedText},
 		IgnoreVars: msg.IgnoreVars,
 		Keep:       msg.Keep,
@@ -122,5 +143,28 @@
 			Writes: sm.Writes, MinPosition: posn.Position{Term: posn.Term{Number: sm.MinPositionTerm}, Offset: sm.MinPositionOffset},
 		})
 	}
-	return ba
+	return ba, ba.check(co)
+}
+
+// check returns an error unless each statement of the batch, with those that set the
+// session variables and prepare its statement, is encoded as exactly one message.
+func (ba Batch) check(co Codec) error {
+	if len(ba.Statements) == 0 {
+		return errors.New("no statement")
+	}
+	sts := slices.Clone(ba.Statements)
+	values := ba.Vars.Values()
+	for pos := 0; pos < len(values); pos += 2 {
+		sts = append(sts, stmt.Statement{Kind: stmt.Set, Name: values[pos], Argument: values[pos+1]})
+	}
+	isExecute := func(st stmt.Statement) bool { return st.Kind == stmt.Execute }
+	if ba.Prepared.Text != "" || slices.ContainsFunc(ba.Statements, isExecute) {
+		sts = append(sts, stmt.Statement{Kind: stmt.Prepare, Name: "p", Writes: ba.Prepared.Writes, Argument: ba.Prepared.Text})
+	}
+	for _, st := range sts {
+		if err := co.CheckStatement(st); err != nil {
+			return err
+		}
+	}
+	return nil
 }
--- a/io/pool/relay.go
+++ b/io/pool/relay.go
@@ -225,18 +225,23 @@
 	case codes.Code(answer.Refusal) == codes.NotHome:
 		li.rs.recordNotHome(li.address)
 		return nil, codes.Refuse(codes.NotHome, "%s", answer.Detail)
+	case codes.Code(answer.Refusal) == codes.ProtocolViolation:
+		// The home did not run the batch and closes the link.
+		return nil, errors.Mark(errors.Mark(errors.Newf("the home refused the message: %s", answer.Detail), ErrNotSent), ErrHomeFailed)
 	case answer.Refusal != 0:
 		return nil, codes.Refuse(codes.Code(answer.Refusal), "%s", answer.Detail)
 	case answer.NotSent:
 		return nil, errors.Mark(errors.New(answer.Broken), ErrNotSent)
-	case len(answer.Results) == 0 && answer.Broken == "":
-		return nil, errors.Mark(errors.New("an answer without results"), ErrHomeFailed)
 	case answer.TimedOut:
 		return nil, errors.Mark(errors.New(answer.Broken), os.ErrDeadlineExceeded)
 	case answer.Broken != "":
 		return nil, errors.New(answer.Broken)
 	}
-	results := fromMessages(answer.Results)
+	results, err := fromMessages(answer.Results, len(ba.Statements), co.pool.deps.Codec)
+	if err != nil {
+		li.rs.recordFailure(li.address)
+		return nil, errors.Mark(errors.Wrap(err, "invalid answer of the home"), ErrHomeFailed)
+	}
 	co.state = results[len(results)-1].State
 	return results, nil
 }
--- a/io/pool/server.go
+++ b/io/pool/server.go
@@ -1,6 +1,8 @@
 package pool
 
 import (
+	"fmt"
+	"io"
 	"net"
 	"os"
 	"sync/atomic"
@@ -42,8 +44,8 @@
 	upstreamID string
 }
 
-// Serve runs the batches that arrive over a link until the link ends. An open
-// transaction is then rolled back.
+// Serve runs the batches that arrive over a link until the link ends or a message is
+// invalid. An open transaction is then rolled back.
 func (sv *Server) Serve(raw net.Conn) {
 	defer func() { _ = raw.Close() }()
 	ls := &linkSession{Server: sv}
@@ -51,17 +53,31 @@
 	enc, dec := cbor.NewEncoder(raw), cbor.NewDecoder(raw)
 	for {
 		var msg batchMessage
-		if err := dec.Decode(&msg); err != nil {
+		err := dec.Decode(&msg)
+		if errors.Is(err, io.EOF) || errors.Is(err, io.ErrUnexpectedEOF) || isNetError(err) {
 			return
 		}
-		answer := ls.run(msg)
+		answer := invalidMessage(err)
+		if err == nil {
+			answer = ls.run(msg)
+		}
 		_ = raw.SetWriteDeadline(time.Now().Add(relayWriteTimeout))
-		if err := enc.Encode(answer); err != nil {
+		if err := enc.Encode(answer); err != nil || answer.Refusal == uint32(codes.ProtocolViolation) {
 			return
 		}
 	}
 }
 
+func isNetError(err error) bool {
+	var ne net.Error
+	return errors.As(err, &ne)
+}
+
+// invalidMessage returns the answer to a message that cannot be read, which ends the link.
+func invalidMessage(err error) resultsMessage {
+	return resultsMessage{Refusal: uint32(codes.ProtocolViolation), Detail: fmt.Sprint(err)}
+}
+
 // relayWriteTimeout bounds the sending of results. It ends the link of an instance
 // that has stopped reading.
 const relayWriteTimeout = time.Second
@@ -78,12 +94,19 @@
 // run runs one batch on the link's connection. If the link holds none, it first
 // acquires one from the pool.
 func (ls *linkSession) run(msg batchMessage) resultsMessage {
+	po := ls.pool(msg)
+	switch {
+	case po == nil:
+		return resultsMessage{Refusal: uint32(codes.NotHome), Detail: msg.Upstream}
+	case ls.conn != nil && ls.upstreamID != msg.Upstream:
+		return resultsMessage{Refusal: uint32(codes.InvariantBroken), Detail: "link holds " + ls.upstreamID}
+	}
+	ba, err := toBatch(msg, po.deps.Codec)
+	if err != nil {
+		return invalidMessage(err)
+	}
 	cr := msg.connRequest(ls.now())
 	if ls.conn == nil {
-		po := ls.find(msg.Upstream)
-		if po == nil || po.currentShare().Quota == 0 {
-			return resultsMessage{Refusal: uint32(codes.NotHome), Detail: msg.Upstream}
-		}
 		co, err := po.AcquireLocal(cr)
 		if err != nil {
 			ref := codes.From(err)
@@ -92,10 +115,7 @@
 		ls.conn, ls.upstreamID = co, msg.Upstream
 		ls.held.Add(1)
 	}
-	if ls.upstreamID != msg.Upstream {
-		return resultsMessage{Refusal: uint32(codes.InvariantBroken), Detail: "link holds " + ls.upstreamID}
-	}
-	results, err := ls.conn.Run(toBatch(msg), cr.Deadline)
+	results, err := ls.conn.Run(ba, cr.Deadline)
 	var ref *codes.Refusal
 	if errors.As(err, &ref) {
 		ls.finishBatch(msg, ls.conn.state)
@@ -111,6 +131,19 @@
 	return resultsMessage{Results: toMessages(results)}
 }
 
+// pool returns the pool that runs the batch: that of the link's connection if it holds
+// one. It returns nil if this instance is not a home of the upstream.
+func (ls *linkSession) pool(msg batchMessage) *Pool {
+	if ls.conn != nil {
+		return ls.conn.pool
+	}
+	po := ls.find(msg.Upstream)
+	if po == nil || po.currentShare().Quota == 0 {
+		return nil
+	}
+	return po
+}
+
 // finishBatch releases the connection after a batch if no transaction is open on
 // it. If one is, the link keeps the connection if the batch has Keep set, and
 // discards it otherwise.
