Skip odd entries of the store one by one

The store's objects were decoded a page at a time. An entry with a blank or a CR LF in its name or service was used: both are sent to the database in STARTUP, where a CR LF starts another message.

--- a/core/group/group.go
+++ b/core/group/group.go
@@ -3,7 +3,12 @@
 package group
 
 import (
+	"net/netip"
 	"slices"
+	"strings"
+	"unicode"
+
+	"github.com/cockroachdb/errors"
 )
 
 // Upstream is one member of a database group.
@@ -30,6 +35,29 @@
 	Revision uint64 `json:"revision"`
 }
 
+// maxSlots is the highest Slots that is accepted.
+const maxSlots = 1 << 20
+
+// Check returns an error if the upstream cannot be used. Its ID and its group are sent to
+// it, so that they must be single words.
+func (up Upstream) Check() error {
+	isSeparator := func(char rune) bool { return unicode.IsSpace(char) || unicode.IsControl(char) }
+	address, err := netip.ParseAddrPort(up.Address)
+	switch {
+	case up.ID == "" || strings.ContainsFunc(up.ID, isSeparator):
+		return errors.Newf("upstream ID %q is not a word", up.ID)
+	case up.Group == "" || strings.ContainsFunc(up.Group, isSeparator):
+		return errors.Newf("upstream %s: group %q is not a word", up.ID, up.Group)
+	case strings.ContainsFunc(up.Domain, unicode.IsControl):
+		return errors.Newf("upstream %s: domain %q is not a word", up.ID, up.Domain)
+	case err != nil || address.Port() == 0:
+		return errors.Newf("upstream %s: want ip:port as address, got %q", up.ID, up.Address)
+	case up.Slots < 1 || up.Slots > maxSlots:
+		return errors.Newf("upstream %s: slots %d out of range", up.ID, up.Slots)
+	}
+	return nil
+}
+
 // IsSameIncarnation reports whether both describe the same incarnation of an upstream.
 func (up Upstream) IsSameIncarnation(other Upstream) bool {
 	return up.ID == other.ID && up.Incarnation == other.Incarnation && up.Address == other.Address && up.Group == other.Group
--- a/io/member/watch.go
+++ b/io/member/watch.go
@@ -279,6 +279,11 @@
 	if err != nil {
 		return since, err
 	}
+	for _, ch := range changes {
+		if ch.Err != nil {
+			event.Log(me.log, event.EntrySkipped, "error", ch.Err.Error())
+		}
+	}
 	me.updateView(func(vi group.View) group.View { return vi.With(revision, changes) })
 	return revision, nil
 }
