Refuse exchanges with ages in the future and skip odd entries from peers

An exchange with another member was used whatever its numbers. A negative age is a time in the future, so that an opinion, a confirmation by the store or a lease from it would have counted as fresh for too long; a large one overflows a duration. Queries and replies were read up to the end of their first JSON value, and what followed was ignored. Upstreams in a peer's listing and members' addresses were not checked: the former are sent to databases, the latter become parts of URLs.

A query or reply with an age out of range, a negative count, more than the limit or anything behind it is now refused whole. Upstreams that cannot be used and members with an invalid address are skipped with entry_skipped.

The upstreams of two tests had no address or no slots. They have them now, since such upstreams are skipped; what the tests check is unchanged.

--- a/io/member/member_test.go
+++ b/io/member/member_test.go
@@ -98,20 +98,20 @@
 // upstream, which writes its entry again without a change.
 func TestListingIsSentOnlyWhenItChanged(t *testing.T) {
 	tm := newTestMember()
-	upstreams := []group.Upstream{{ID: "a", Group: "g"}, {ID: "b", Group: "g"}}
+	upstreams := []group.Upstream{{ID: "a", Group: "g", Address: "10.0.0.1:1", Slots: 1}, {ID: "b", Group: "g", Address: "10.0.0.1:2", Slots: 1}}
 	set := func(vi group.View) { tm.updateView(func(group.View) group.View { return vi }) }
 	set(group.NewView(10, upstreams))
 	require.NotNil(t, tm.makeReply(exchangeQuery{}, tm.now).Listing)
 	seen := exchangeQuery{Listing: tm.listing().ContentRevision}
 	for revision := uint64(11); revision < 15; revision++ {
 		tm.updateView(func(vi group.View) group.View {
-			return vi.With(revision, []group.Change{{Upstream: group.Upstream{ID: "a", Group: "g", Revision: revision}}})
+			return vi.With(revision, []group.Change{{Upstream: group.Upstream{ID: "a", Group: "g", Address: "10.0.0.1:1", Slots: 1, Revision: revision}}})
 		})
 		require.Nil(t, tm.makeReply(seen, tm.now).Listing)
 	}
 	require.Equal(t, uint64(14), tm.listing().Revision)
 	tm.updateView(func(vi group.View) group.View {
-		return vi.With(16, []group.Change{{Upstream: group.Upstream{ID: "a", Group: "g", Leaving: true}}})
+		return vi.With(16, []group.Change{{Upstream: group.Upstream{ID: "a", Group: "g", Address: "10.0.0.1:1", Slots: 1, Leaving: true}}})
 	})
 	re := tm.makeReply(seen, tm.now)
 	require.Equal(t, uint64(16), re.Listing.Revision)
--- a/io/member/peer.go
+++ b/io/member/peer.go
@@ -137,6 +137,62 @@
 	return re
 }
 
+// exchangeMessage is a query or a reply.
+type exchangeMessage interface {
+	// check returns an error if the message cannot be used.
+	check() error
+}
+
+// readExchange reads a query or a reply. What cannot be read or used is refused whole.
+func readExchange(rd io.Reader, out exchangeMessage) error {
+	raw, err := io.ReadAll(io.LimitReader(rd, maxExchangeBytes+1))
+	if err != nil {
+		return err
+	}
+	if len(raw) > maxExchangeBytes {
+		return errors.Newf("exchange of more than %d bytes", maxExchangeBytes)
+	}
+	if err := json.Unmarshal(raw, out); err != nil {
+		return err
+	}
+	return out.check()
+}
+
+// maxAgeMs bounds the ages on the wire, so that none overflows a time.Duration.
+const maxAgeMs = int64(100 * 365 * 24 * time.Hour / time.Millisecond)
+
+// checkAges returns an error if an age is negative, and so a time in the future, or
+// exceeds maxAgeMs.
+func checkAges(ages ...int64) error {
+	for _, age := range ages {
+		if age < 0 || age > maxAgeMs {
+			return errors.Newf("age of %d ms out of range", age)
+		}
+	}
+	return nil
+}
+
+func checkOpinions(ops []wireOpinion) error {
+	for _, wo := range ops {
+		if wo.Count < 0 || wo.Stalled < 0 || wo.Crowded < 0 {
+			return errors.New("negative count in an opinion")
+		}
+		if err := checkAges(wo.AgeMs, wo.ProvenMs, wo.UnreachedMs, wo.WroteMs, wo.ReplicaMs, wo.SampleMs, wo.LeaseMs, wo.HoldMs); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func (qu *exchangeQuery) check() error { return checkOpinions(qu.Opinions) }
+
+func (re *exchangeReply) check() error {
+	if err := checkAges(re.CatalogMs, re.ListingMs, re.MembersMs); err != nil {
+		return err
+	}
+	return checkOpinions(re.Evidence)
+}
+
 type listingSnapshot struct {
 	// Revision is the newest revision at which the listing changed.
 	Revision  uint64           `json:"revision"`
@@ -183,7 +239,7 @@
 
 func (ps *peers) handle(rw http.ResponseWriter, rq *http.Request) {
 	var qu exchangeQuery
-	if err := json.NewDecoder(io.LimitReader(rq.Body, maxExchangeBytes)).Decode(&qu); err != nil {
+	if err := readExchange(rq.Body, &qu); err != nil {
 		http.Error(rw, err.Error(), http.StatusBadRequest)
 		return
 	}
@@ -364,7 +420,7 @@
 	}()
 }
 
-func (ps *peers) post(ctx context.Context, url string, body, out any) error {
+func (ps *peers) post(ctx context.Context, url string, body any, out exchangeMessage) error {
 	raw, err := json.Marshal(body)
 	if err != nil {
 		return err
@@ -381,7 +437,7 @@
 	if rs.StatusCode != http.StatusOK {
 		return errors.Newf("peer answered with HTTP status %d", rs.StatusCode)
 	}
-	return json.NewDecoder(io.LimitReader(stall.NewReader(ctx, rs.Body), maxExchangeBytes)).Decode(out)
+	return readExchange(stall.NewReader(ctx, rs.Body), out)
 }
 
 // applyReply applies the reply of the named source. Ages are counted from the time of the query,
@@ -401,7 +457,7 @@
 		}
 	}
 	if re.Listing != nil {
-		vi := group.NewView(re.Listing.Revision, re.Listing.Upstreams)
+		vi := group.NewView(re.Listing.Revision, me.usable(re.Listing.Upstreams))
 		me.updateView(func(old group.View) group.View {
 			if vi.ContentRevision <= old.ContentRevision {
 				return old
@@ -423,6 +479,19 @@
 	me.addEvidence(re.Evidence, asked)
 }
 
+// usable returns the upstreams that can be used and logs the others.
+func (me *Member) usable(ups []group.Upstream) []group.Upstream {
+	out := make([]group.Upstream, 0, len(ups))
+	for _, up := range ups {
+		if err := up.Check(); err != nil {
+			event.Log(me.log, event.EntrySkipped, "error", err.Error())
+			continue
+		}
+		out = append(out, up)
+	}
+	return out
+}
+
 // evidence returns this member's newest evidence on each group's leader.
 func (me *Member) evidence(now time.Time) []wireOpinion {
 	ops := me.engine.Opinions()
--- /dev/null
+++ b/io/member/peer_test.go
@@ -0,0 +1,155 @@
+package member
+
+import (
+	"encoding/json"
+	"math"
+	"net/http"
+	"net/http/httptest"
+	"reflect"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"banyanspring/core/group"
+)
+
+// oddExchanges lists bodies that cannot be used as a query or as a reply.
+var oddExchanges = map[string]string{
+	"nothing":             ``,
+	"no object":           `7`,
+	"array":               `[]`,
+	"cut off":             `{"from":"a"`,
+	"two objects":         `{"from":"a"}{"from":"b"}`,
+	"nested too deeply":   `{"opinions":` + strings.Repeat("[", 20000) + strings.Repeat("]", 20000) + `}`,
+	"number too large":    `{"opinions":[{"age":1e300}],"evidence":[{"age":1e300}]}`,
+	"age in the future":   `{"opinions":[{"age":-1}],"evidence":[{"age":-1}]}`,
+	"age that overflows":  `{"opinions":[{"age":9223372036854775807}],"evidence":[{"age":9223372036854775807}]}`,
+	"proof in the future": `{"opinions":[{"proven":-5000}],"evidence":[{"proven":-5000}]}`,
+	"lease in the future": `{"opinions":[{"lease_term":3,"lease":-5000}],"evidence":[{"lease_term":3,"lease":-5000}]}`,
+	"negative hold":       `{"opinions":[{"hold":-1}],"evidence":[{"hold":-1}]}`,
+	"negative count":      `{"opinions":[{"count":-1}],"evidence":[{"count":-1}]}`,
+	"wrong type":          `{"opinions":{},"evidence":{}}`,
+	"too long":            `{"from":"` + strings.Repeat("x", maxExchangeBytes) + `"}`,
+}
+
+// A query that cannot be used changes nothing.
+func TestOddQueryIsRefusedWhole(t *testing.T) {
+	for name, body := range oddExchanges {
+		tm := newTestMember()
+		rw := httptest.NewRecorder()
+		tm.peers.handle(rw, httptest.NewRequest(http.MethodPost, exchangePath, strings.NewReader(body)))
+		require.Equal(t, http.StatusBadRequest, rw.Code, name)
+		require.Empty(t, tm.opinions.held, name)
+	}
+	tm := newTestMember()
+	rw := httptest.NewRecorder()
+	body := `{"from":"a","opinions":[{"from":"a","group":"g","leader":"u","age":5,"proven":70,"stalled":2}]}`
+	tm.peers.handle(rw, httptest.NewRequest(http.MethodPost, exchangePath, strings.NewReader(body)))
+	require.Equal(t, http.StatusOK, rw.Code)
+	require.Len(t, tm.opinions.held, 1)
+}
+
+func TestOddReplyIsRefusedWhole(t *testing.T) {
+	for name, body := range oddExchanges {
+		var re exchangeReply
+		require.Error(t, readExchange(strings.NewReader(body), &re), name)
+	}
+	for _, body := range []string{`{"catalog_ms":-1}`, `{"listing_ms":-1}`, `{"members_ms":-1}`, `{"members_ms":9223372036854775807}`} {
+		var re exchangeReply
+		require.Error(t, readExchange(strings.NewReader(body), &re), body)
+	}
+	var re exchangeReply
+	require.NoError(t, readExchange(strings.NewReader(`{"catalog_ms":5,"evidence":[{"group":"g","sample":1,"term":2}]}`), &re))
+}
+
+// An upstream from a peer may be as odd as one from the store.
+func TestOddUpstreamInAListingFromAPeerIsSkipped(t *testing.T) {
+	good := group.Upstream{ID: "i-1", Group: "orders", Address: "10.0.0.1:8080", Slots: 2}
+	with := func(change func(up *group.Upstream)) group.Upstream {
+		up := good
+		change(&up)
+		return up
+	}
+	odd := []group.Upstream{
+		{},
+		with(func(up *group.Upstream) { up.ID = "i-2\r\nQUERY - STEPDOWN 9" }),
+		with(func(up *group.Upstream) { up.ID = "i-2 x" }),
+		with(func(up *group.Upstream) { up.ID, up.Group = "i-2", "orders\n" }),
+		with(func(up *group.Upstream) { up.ID, up.Address = "i-2", "10.0.0.1:70000" }),
+		with(func(up *group.Upstream) { up.ID, up.Slots = "i-2", math.MaxInt }),
+		with(func(up *group.Upstream) { up.ID, up.Domain = "i-2", "a\x00" }),
+	}
+	tm := newTestMember()
+	tm.applyReply(exchangeReply{Listing: &listingSnapshot{Revision: 9, Upstreams: append(odd, good)}}, "a", tm.now)
+	require.Equal(t, []group.Upstream{good}, tm.listing().All())
+}
+
+// The addresses of members become parts of URLs.
+func TestOddMemberIsSkipped(t *testing.T) {
+	tm := newTestMember()
+	objs := []Object{
+		{Name: "a", Revision: 1, Value: []byte(`{"name":"a","address":"10.0.0.1:1/other?x=","relay":"10.0.0.1:2"}`)},
+		{Name: "b", Revision: 2, Value: []byte(`{"name":"b","address":"10.0.0.1:1","relay":"10.0.0.1:70000"}`)},
+		{Name: "c", Revision: 3, Value: []byte(`{"name":"d","address":"10.0.0.1:1"}`)},
+		{Name: "e", Revision: 4, Value: []byte(`{"name":"e","weight":1e999}`)},
+		{Name: "f", Revision: 5, Value: []byte(strings.Repeat("[", 20000))},
+		{Name: "g", Revision: 6},
+		{Name: "", Revision: 7, Value: []byte(`{}`)},
+		{Name: "good", Revision: 8, Value: []byte(`{"name":"good","address":"10.0.0.1:1","relay":"10.0.0.1:2"}`)},
+	}
+	tm.roster.replace(objs, 9)
+	require.Len(t, tm.roster.members, 1)
+	require.Contains(t, tm.roster.members, "good")
+}
+
+// FuzzExchange checks that a query or a reply is refused or used, that no time in the
+// future comes from it, and that it is encoded again as it was read.
+func FuzzExchange(f *testing.F) {
+	for _, body := range oddExchanges {
+		if len(body) < 1<<16 {
+			f.Add([]byte(body))
+		}
+	}
+	f.Add([]byte(`{"from":"a","catalog":3,"opinions":[{"from":"a","group":"g","leader":"u","age":5,"proven":70,"stalled":2,"hold":3}]}`))
+	f.Add([]byte(`{"catalog":4,"catalog_patch":"H4sIAAAAAAAA","catalog_ms":3,"listing":{"revision":8,"upstreams":[{"id":"i-1","group":"g",` +
+		`"address":"10.0.0.1:80","slots":2}]},"members":{"at":7,"objects":[{"name":"a","revision":3,"value":{"name":"a"}}],` +
+		`"removed":[{"name":"b","at":6}]},"evidence":[{"group":"g","leader":"i-1","sample":5,"lease_term":2,"lease":4}]}`))
+	tm := newTestMember()
+	f.Fuzz(func(t *testing.T, raw []byte) {
+		var qu, again exchangeQuery
+		if readExchange(strings.NewReader(string(raw)), &qu) == nil {
+			encoded, err := json.Marshal(qu)
+			require.NoError(t, err)
+			require.NoError(t, json.Unmarshal(encoded, &again))
+			require.True(t, reflect.DeepEqual(qu, again))
+			held := newOpinions()
+			for _, wo := range qu.Opinions {
+				held.add(wo, tm.now)
+				for _, op := range held.forGroup(wo.Group) {
+					for _, at := range []time.Time{op.ReceivedAt, op.ProvenAt, op.UnreachedSince, op.WriteAcknowledgedAt, op.ReplicaReadAt} {
+						require.False(t, at.After(tm.now))
+					}
+				}
+			}
+			tm.makeReply(qu, tm.now)
+		}
+		var re exchangeReply
+		if readExchange(strings.NewReader(string(raw)), &re) == nil {
+			if re.Members != nil {
+				for _, obj := range re.Members.Objects {
+					_, _ = decodeEntry(obj)
+				}
+				re.Members = nil
+			}
+			tm.applyReply(re, "a", tm.now)
+			require.False(t, tm.catalogAt.load().After(tm.now))
+			require.False(t, tm.listingAt.load().After(tm.now))
+			require.False(t, tm.roster.confirmedAt.load().After(tm.now))
+			for _, up := range tm.listing().All() {
+				require.NoError(t, up.Check())
+			}
+		}
+	})
+}
--- a/io/member/roster.go
+++ b/io/member/roster.go
@@ -4,6 +4,7 @@
 	"cmp"
 	"context"
 	"encoding/json"
+	"net/netip"
 	"slices"
 	"sync"
 	"time"
@@ -366,12 +367,29 @@
 	return err.Error()
 }
 
+// decodeEntry decodes a member's object. The addresses become parts of URLs.
+func decodeEntry(obj Object) (entry, error) {
+	var en entry
+	if err := json.Unmarshal(obj.Value, &en); err != nil {
+		return en, err
+	}
+	if en.Name != obj.Name || en.Name == "" {
+		return en, errors.Newf("entry of %q is that of %q", obj.Name, en.Name)
+	}
+	for _, address := range []string{en.Address, en.Relay} {
+		if _, err := netip.ParseAddrPort(address); address != "" && err != nil {
+			return en, errors.Wrap(err, "address")
+		}
+	}
+	return en, nil
+}
+
 // put adds or updates one member from its object, and reports whether that changed
 // anything; mu is held.
 func (ro *roster) put(obj Object) bool {
-	var en entry
-	if err := json.Unmarshal(obj.Value, &en); err != nil || en.Name != obj.Name {
-		event.Log(ro.me.log, event.EntrySkipped, "kind", kindMember, "name", obj.Name)
+	en, err := decodeEntry(obj)
+	if err != nil {
+		event.Log(ro.me.log, event.EntrySkipped, "kind", kindMember, "name", obj.Name, "error", err.Error())
 		return false
 	}
 	if old := ro.members[obj.Name]; old != nil && old.token >= obj.Revision {
--- a/io/member/transfer_test.go
+++ b/io/member/transfer_test.go
@@ -266,7 +266,7 @@
 	source, asker := newTestMember(), newTestMember()
 	var ups []group.Upstream
 	for num := range upstreams {
-		ups = append(ups, group.Upstream{ID: fmt.Sprint("i", num), Group: fmt.Sprint("g", num/3), Address: "10.2.64.20:8323"})
+		ups = append(ups, group.Upstream{ID: fmt.Sprint("i", num), Group: fmt.Sprint("g", num/3), Address: "10.2.64.20:8323", Slots: 2})
 	}
 	source.updateView(func(group.View) group.View { return group.NewView(10, ups) })
 	source.listingAt.advance(source.now.Add(-time.Second))
