--- a/Makefile
+++ b/Makefile
@@ -57,6 +57,15 @@
 random: ## run the random-fault test of the promotion logic with one seed after another; SEED=n FOR=10m
 	$(call each_seed,$(GO) test ./core/promo -count=1 -run TestRandomFaults -timeout 1h -rapid.seed=$$seed -rapid.checks=20000)
 
+.PHONY: fuzz
+fuzz: ## run each fuzzer for the duration FOR, or for a number of inputs; FOR=10m, FOR=100000x
+	@for file in $$(git grep -l '^func Fuzz' -- '*_test.go'); do \
+		for name in $$(sed -n 's/^func \(Fuzz[A-Za-z0-9]*\)(.*/\1/p' $$file); do \
+			echo "$$(dirname $$file) $$name"; \
+			$(GO) test ./$$(dirname $$file) -run '^$$' -fuzz "^$$name\$$" -fuzztime $(FOR) -parallel 2 || exit 1; \
+		done; \
+	done
+
 SPIN_FLAGS ?= -DMAXNUM=2 -DMAXLEN=2
 .PHONY: model
 model: ## check the Promela models with spin, and that each disabled rule is detected
--- a/io/pool/message_test.go
+++ b/io/pool/message_test.go
@@ -1,7 +1,10 @@
 package pool
 
 import (
+	"bytes"
+	"math"
 	"net"
+	"strings"
 	"testing"
 	"time"
 
@@ -10,6 +13,7 @@
 	"github.com/stretchr/testify/require"
 
 	"banyanspring/core/stmt"
+	"banyanspring/tests/mutat"
 )
 
 // runOverLink runs a batch of two statements over a link to a home that answers with the
@@ -66,3 +70,80 @@
 	require.True(t, errors.Is(err, ErrHomeFailed))
 	require.True(t, errors.Is(err, ErrNotSent))
 }
+
+// checkedCodec accepts the statements and results whose texts hold no line break.
+var checkedCodec = Codec{
+	CheckStatement: func(st stmt.Statement) error {
+		if strings.ContainsAny(st.RequestID+st.Text+st.Name+st.Argument, "\r\n") {
+			return errors.New("line break")
+		}
+		return nil
+	},
+	CheckResult: func(res stmt.Result) error {
+		if strings.ContainsAny(res.Receipt, "\r\n") || res.State > stmt.Failed {
+			return errors.New("line break or state")
+		}
+		return nil
+	},
+}
+
+// checkMessages checks that messages of other instances are refused, or hold at least one
+// statement and nothing that the codec refuses.
+func checkMessages(t *testing.T, raw []byte) {
+	t.Helper()
+	var msg batchMessage
+	if cbor.Unmarshal(raw, &msg) == nil {
+		encoded, err := cbor.Marshal(msg)
+		require.NoError(t, err)
+		var again batchMessage
+		require.NoError(t, cbor.Unmarshal(encoded, &again))
+		twice, err := cbor.Marshal(again)
+		require.NoError(t, err)
+		require.Equal(t, encoded, twice)
+		now := time.Unix(1_000_000, 0)
+		cr := msg.connRequest(now)
+		require.LessOrEqual(t, cr.Deadline.Sub(now).Abs(), time.Hour)
+		require.LessOrEqual(t, cr.QueueDeadline.Sub(now).Abs(), time.Hour)
+		if ba, err := toBatch(msg, checkedCodec); err == nil {
+			require.NotEmpty(t, ba.Statements)
+			require.Equal(t, len(msg.Values), len(ba.Vars.Values()))
+			require.NoError(t, ba.check(checkedCodec))
+		}
+	}
+	var answer resultsMessage
+	if cbor.Unmarshal(raw, &answer) == nil {
+		results, err := fromMessages(answer.Results, 1, checkedCodec)
+		require.Equal(t, err == nil, len(results) == 1)
+	}
+}
+
+// messageSeeds returns messages as instances send them, and odd ones.
+func messageSeeds() [][]byte {
+	st := []any{"id", 5, "READ k", "", "", false, 3, 7}
+	var out [][]byte
+	for _, msg := range []any{
+		[]any{"i-a", "caller", 100, 200, int64(noSoftDeadline), []string{"a", "1", "b", "2"}, true, "shape", false, true, []any{st, st}},
+		[]any{"i-a", "caller", int64(math.MaxInt64), int64(math.MinInt64), 5, []string{"a"}, false, "", false, false, []any{}},
+		[]any{0, "", "", false, false, results("DATAROW one\r\n")},
+		[]any{104, "detail", "broken", true, true, []any{}},
+		map[string]any{"a": 1}, "text", 7,
+	} {
+		raw, err := cbor.Marshal(msg)
+		if err != nil {
+			panic(err)
+		}
+		out = append(out, raw)
+	}
+	return append(out, []byte{0x9b, 0x80, 0, 0, 0, 0, 0, 0, 0}, []byte{0x5b, 0, 0, 0, 0xff, 0xff, 0xff, 0xff, 0xff}, bytes.Repeat([]byte{0x81}, 100))
+}
+
+func FuzzMessages(f *testing.F) {
+	for _, raw := range messageSeeds() {
+		f.Add(raw)
+	}
+	f.Fuzz(checkMessages)
+}
+
+func TestMessagesOnFixedInputs(t *testing.T) {
+	mutat.Inputs(messageSeeds(), func(raw []byte) { checkMessages(t, raw) })
+}
