Refuse what is sent behind a request for encryption

Bytes that arrived together with an SSLRequest were read into the buffer of the connection before encryption and dropped with it: a caller that sent its startup message at once waited until its time ran out. A request for encryption could be repeated without end, also inside the encrypted connection.

Such bytes are now refused with BS104, since someone between the caller and the daemon may have added them, and each encryption may be asked for once. Until the session starts, the connection is read no further than the message.

Failed before: TestDataBehindARequestForEncryptionIsRefused ("startup: EOF") and TestRequestForEncryptionIsAnsweredOnce (answered twice, until the test's limit of 60 s). The lengths of startup messages were checked already; TestStartupOfAnyLengthIsRefused, FuzzStartup and TestStartupsOnFixedInputs passed before too.

--- a/io/front/fuzz_test.go
+++ b/io/front/fuzz_test.go
@@ -80,6 +80,7 @@
 func (mc *memoryConn) Write(buf []byte) (int, error)    { return mc.out.Write(buf) }
 func (mc *memoryConn) Close() error                     { return nil }
 func (mc *memoryConn) SetReadDeadline(time.Time) error  { return nil }
+func (mc *memoryConn) SetDeadline(time.Time) error      { return nil }
 func (mc *memoryConn) SetWriteDeadline(time.Time) error { return nil }
 
 // runSession feeds raw to a session past the login and returns its output.
@@ -88,7 +89,7 @@
 	se := &session{
 		front:    fr,
 		net:      mc,
-		backend:  newBackend(mc, fr.settings.MaxMessageBytes),
+		backend:  newBackend(mc, mc, fr.settings.MaxMessageBytes),
 		database: "s.d",
 		caller:   docum.Caller{Name: "c", Weight: 1},
 		state:    sessn.New(time.Now()).WithToken(sessn.State{}.MinPosition),
--- a/io/front/login.go
+++ b/io/front/login.go
@@ -1,10 +1,12 @@
 package front
 
 import (
+	"bufio"
 	"context"
 	"crypto/tls"
 	"encoding/binary"
 	"fmt"
+	"io"
 	"net"
 	"strings"
 	"time"
@@ -67,7 +69,9 @@
 // caller requests it. The session is nil if the connection carried only a cancel
 // request or was closed.
 func (fr *Front) login(nc *net.Conn) (*session, error) {
-	be := newBackend(*nc, fr.settings.MaxMessageBytes)
+	sr := newStartupReader(*nc)
+	be := newBackend(sr, *nc, fr.settings.MaxMessageBytes)
+	hasAskedSSL, hasAskedGSS := false, false
 	for {
 		msg, err := be.ReceiveStartupMessage()
 		if err != nil {
@@ -75,27 +79,77 @@
 		}
 		switch msg := msg.(type) {
 		case *pgproto3.GSSEncRequest:
+			if err := checkEncryptionRequest(sr, hasAskedGSS); err != nil {
+				return nil, err
+			}
+			hasAskedGSS = true
 			if _, err := (*nc).Write([]byte("N")); err != nil {
 				return nil, nil
 			}
 		case *pgproto3.SSLRequest:
+			if err := checkEncryptionRequest(sr, hasAskedSSL); err != nil {
+				return nil, err
+			}
+			hasAskedSSL = true
 			next, err := fr.startTLS(*nc)
 			if err != nil {
 				return nil, nil
 			}
-			*nc = next
-			be = newBackend(next, fr.settings.MaxMessageBytes)
+			*nc, sr = next, newStartupReader(next)
+			be = newBackend(sr, next, fr.settings.MaxMessageBytes)
 		case *pgproto3.CancelRequest:
 			fr.handleCancel(msg)
 			return nil, nil
 		case *pgproto3.StartupMessage:
+			sr.isStarted = true
 			return fr.startSession(*nc, be, msg)
 		}
 	}
 }
 
-func newBackend(nc net.Conn, maxBytes int) *pgproto3.Backend {
-	be := pgproto3.NewBackend(nc, nc)
+// startupReader reads a connection so that a backend takes no byte behind a message until
+// the session has started: the bytes behind a request for encryption are not lost, but
+// seen.
+type startupReader struct {
+	nc net.Conn
+	rd *bufio.Reader
+	// isStarted is true once the backend may take any number of bytes.
+	isStarted bool
+}
+
+// startupBufferBytes is the size of the buffer for startup messages; most are shorter.
+const startupBufferBytes = 256
+
+func newStartupReader(nc net.Conn) *startupReader {
+	return &startupReader{nc: nc, rd: bufio.NewReaderSize(nc, startupBufferBytes)}
+}
+
+// Read implements io.Reader.
+func (sr *startupReader) Read(buf []byte) (int, error) {
+	switch {
+	case sr.isStarted && sr.rd.Buffered() == 0:
+		return sr.nc.Read(buf)
+	case !sr.isStarted && len(buf) > 1:
+		buf = buf[:1]
+	}
+	return sr.rd.Read(buf)
+}
+
+// checkEncryptionRequest refuses a second request for the same encryption, and one that
+// came with other bytes: they were sent before the answer, and someone between the caller
+// and this daemon may have added them.
+func checkEncryptionRequest(sr *startupReader, isRepeated bool) error {
+	if isRepeated {
+		return codes.Refuse(codes.ProtocolViolation, "second request for encryption")
+	}
+	if sr.rd.Buffered() > 0 {
+		return codes.Refuse(codes.ProtocolViolation, "data behind a request for encryption")
+	}
+	return nil
+}
+
+func newBackend(rd io.Reader, nc net.Conn, maxBytes int) *pgproto3.Backend {
+	be := pgproto3.NewBackend(rd, nc)
 	be.SetMaxBodyLen(maxBytes)
 	return be
 }
