Bound the minimising of inputs in make fuzz

Go minimises each input with new coverage for up to a minute by default, and runs no other one meanwhile: FuzzRequest ran 40,949 inputs in 66 s, none in the last seconds.

--- a/Makefile
+++ b/Makefile
@@ -62,7 +62,7 @@
 	@for file in $$(git grep -l '^func Fuzz' -- '*_test.go'); do \
 		for name in $$(sed -n 's/^func \(Fuzz[A-Za-z0-9]*\)(.*/\1/p' $$file); do \
 			echo "$$(dirname $$file) $$name"; \
-			$(GO) test ./$$(dirname $$file) -run '^$$' -fuzz "^$$name\$$" -fuzztime $(FOR) -parallel 2 || exit 1; \
+			$(GO) test ./$$(dirname $$file) -run '^$$' -fuzz "^$$name\$$" -fuzztime $(FOR) -fuzzminimizetime 20x -parallel 2 || exit 1; \
 		done; \
 	done
 
