Name prepared statements by a hash for which no collision can be made

Callers' prepared statements share names on pooled connections: a hash of their text. It was a 64-bit xxHash, for which two texts of the same hash are easily made. A caller that knows another one's text could prepare such a text first, and the other caller's EXECUTE ran it on that connection.

Failed before: TestPreparedStatementsCannotBeMadeToShareAName; the connection took the second text for prepared.

--- a/core/vars/vars.go
+++ b/core/vars/vars.go
@@ -3,10 +3,9 @@
 package vars
 
 import (
+	"crypto/sha256"
+	"encoding/hex"
 	"slices"
-	"strconv"
-
-	"github.com/cespare/xxhash/v2"
 
 	"banyanspring/core/stmt"
 )
@@ -26,18 +25,21 @@
 
 // pooledName returns the name of the prepared statement on pooled connections. It is
 // a hash of Writes and Text, both of which the upstream is given at the
-// preparation. Name is left out, so that callers share equal prepared statements.
+// preparation. Name is left out, so that callers share equal prepared statements. Callers
+// choose the texts, so that the hash must be one for which no two texts of the same hash
+// can be made.
 func (pr Prepared) pooledName() string {
-	dig := xxhash.New()
+	kind := "r"
 	if pr.Writes {
-		_, _ = dig.WriteString("w")
-	} else {
-		_, _ = dig.WriteString("r")
+		kind = "w"
 	}
-	_, _ = dig.WriteString(pr.Text)
-	return "p" + strconv.FormatUint(dig.Sum64(), 36)
+	sum := sha256.Sum256([]byte(kind + pr.Text))
+	return "p" + hex.EncodeToString(sum[:pooledNameBytes])
 }
 
+// pooledNameBytes is how much of the hash is part of a name.
+const pooledNameBytes = 16
+
 // Session is the immutable set of variables and prepared statements of one caller's
 // session.
 type Session struct {
--- a/core/vars/vars_test.go
+++ b/core/vars/vars_test.go
@@ -1,6 +1,7 @@
 package vars
 
 import (
+	"encoding/hex"
 	"testing"
 
 	"github.com/stretchr/testify/require"
@@ -82,3 +83,23 @@
 	_, ok = removed.GetPreparedByName("p")
 	require.False(t, ok)
 }
+
+// Callers choose the texts, so that one of them could give another's statement a name that
+// the connection knows for a different text.
+func TestPreparedStatementsCannotBeMadeToShareAName(t *testing.T) {
+	// Both texts have the same 64-bit xxHash behind an "r".
+	one, err := hex.DecodeString("326a294130615a2e492322237567212e492322237567212e492322237567216f207b5a437e3e6d2e" +
+		"492322237567212e492322237567212e49232223756721")
+	require.NoError(t, err)
+	two, err := hex.DecodeString("75513b2d6023522e492322237567212e492322237567212e492322237567216f4e26d7c6880f922e" +
+		"492322237567212e492322237567212e49232223756721")
+	require.NoError(t, err)
+	var co Conn
+	first, prepare := co.ResolvePrepared(stmt.Statement{Kind: stmt.Execute, Name: "p", Argument: "k"}, Prepared{Name: "p", Text: string(one)})
+	require.Len(t, prepare, 1)
+	second, prepare := co.ResolvePrepared(stmt.Statement{Kind: stmt.Execute, Name: "p", Argument: "k"}, Prepared{Name: "p", Text: string(two)})
+	require.Len(t, prepare, 1)
+	require.Equal(t, string(two), prepare[0].Argument)
+	require.NotEqual(t, first.Name, second.Name)
+	require.Equal(t, second.Name, prepare[0].Name)
+}
