--- a/io/logq/logq_test.go
+++ b/io/logq/logq_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"errors"
 	"io"
 	"log/slog"
 	"strings"
@@ -66,3 +67,29 @@
 	lg.Info("common")
 	require.Contains(t, out.String(), `counts="common=980 refused=900"`)
 }
+
+// Values come from callers, databases and other instances. None may become a line of its
+// own.
+func TestValueCannotForgeALine(t *testing.T) {
+	var forged []byte
+	for char := range 256 {
+		forged = append(forged, byte(char))
+	}
+	text := string(forged) + "\n{\"level\":\"INFO\",\"msg\":\"forged\"}\r\ntime=0 msg=forged\u2028\u2029\u0085"
+	for _, newHandler := range []func(out io.Writer) slog.Handler{
+		func(out io.Writer) slog.Handler { return slog.NewJSONHandler(out, nil) },
+		func(out io.Writer) slog.Handler { return slog.NewTextHandler(out, nil) },
+	} {
+		var out bytes.Buffer
+		wr := NewWriter(&out)
+		lg := slog.New(NewHandler(newHandler(wr), time.Now))
+		lg.Info("line", "value", text, "error", errors.New(text), "raw", []byte(text), text, text)
+		lg.With(text, text).WithGroup(text).Info(text, text, text)
+		wr.Close(time.Minute)
+		require.Equal(t, 2, strings.Count(out.String(), "\n"))
+		require.NotContains(t, out.String(), "\r")
+		for _, line := range strings.Split(out.String(), "\n") {
+			require.False(t, strings.HasPrefix(line, "{\"level\"") || strings.HasPrefix(line, "time=0"))
+		}
+	}
+}
