Bound the size of the messages that a home reads

A message of another instance was read whatever its size: a text said to have 2^40 bytes was collected until the connection ended. A message of more than 16 MiB is now refused with BS106, and the link is closed as after an invalid one. As for callers, the rest of the input is read for a second at most, so that the refusal arrives.

Failed before: TestRelayedMessageWithoutEndIsRefused, by its time limit of 30 s.

--- a/io/pool/relay.go
+++ b/io/pool/relay.go
@@ -225,7 +225,7 @@
 	case codes.Code(answer.Refusal) == codes.NotHome:
 		li.rs.recordNotHome(li.address)
 		return nil, codes.Refuse(codes.NotHome, "%s", answer.Detail)
-	case codes.Code(answer.Refusal) == codes.ProtocolViolation:
+	case endsLink(codes.Code(answer.Refusal)):
 		// The home did not run the batch and closes the link.
 		return nil, errors.Mark(errors.Mark(errors.Newf("the home refused the message: %s", answer.Detail), ErrNotSent), ErrHomeFailed)
 	case answer.Refusal != 0:
--- a/io/pool/server.go
+++ b/io/pool/server.go
@@ -50,9 +50,11 @@
 	defer func() { _ = raw.Close() }()
 	ls := &linkSession{Server: sv}
 	defer ls.end()
-	enc, dec := cbor.NewEncoder(raw), cbor.NewDecoder(raw)
+	in := &messageReader{rd: raw}
+	enc, dec := cbor.NewEncoder(raw), cbor.NewDecoder(in)
 	for {
 		var msg batchMessage
+		in.left = maxMessageBytes
 		err := dec.Decode(&msg)
 		if errors.Is(err, io.EOF) || errors.Is(err, io.ErrUnexpectedEOF) || isNetError(err) {
 			return
@@ -62,7 +64,11 @@
 			answer = ls.run(msg)
 		}
 		_ = raw.SetWriteDeadline(time.Now().Add(relayWriteTimeout))
-		if err := enc.Encode(answer); err != nil || answer.Refusal == uint32(codes.ProtocolViolation) {
+		if err := enc.Encode(answer); err != nil {
+			return
+		}
+		if endsLink(codes.Code(answer.Refusal)) {
+			discardInput(raw)
 			return
 		}
 	}
@@ -73,8 +79,50 @@
 	return errors.As(err, &ne)
 }
 
+// maxMessageBytes is the maximum size of a message that a home reads: one statement of a
+// megabyte and the values of its session.
+const maxMessageBytes = 16 << 20
+
+var errMessageTooLarge = errors.Newf("more than %d bytes", maxMessageBytes)
+
+// messageReader reads at most left bytes, which is set anew for each message.
+type messageReader struct {
+	rd   io.Reader
+	left int
+}
+
+// Read implements io.Reader.
+func (mr *messageReader) Read(buf []byte) (int, error) {
+	if mr.left <= 0 {
+		return 0, errMessageTooLarge
+	}
+	num, err := mr.rd.Read(buf[:min(len(buf), mr.left)])
+	mr.left -= num
+	return num, err
+}
+
+// discardInput ends the link for the other instance and reads a message's size of the rest
+// of its input: closing a connection with input that was not read would reset it, and the
+// answer might be lost.
+func discardInput(raw net.Conn) {
+	if half, ok := raw.(interface{ CloseWrite() error }); !ok || half.CloseWrite() != nil {
+		return
+	}
+	_ = raw.SetReadDeadline(time.Now().Add(relayWriteTimeout))
+	_, _ = io.CopyN(io.Discard, raw, maxMessageBytes)
+}
+
+// endsLink reports whether a home closes the link after the refusal: the message was not
+// read whole or is invalid.
+func endsLink(co codes.Code) bool {
+	return co == codes.ProtocolViolation || co == codes.MessageTooLarge
+}
+
 // invalidMessage returns the answer to a message that cannot be read, which ends the link.
 func invalidMessage(err error) resultsMessage {
+	if errors.Is(err, errMessageTooLarge) {
+		return resultsMessage{Refusal: uint32(codes.MessageTooLarge), Detail: err.Error()}
+	}
 	return resultsMessage{Refusal: uint32(codes.ProtocolViolation), Detail: fmt.Sprint(err)}
 }
 
