Roll back before the rest of an unreadable input is discarded

After a message that cannot be read, an open transaction was rolled back only when the session had ended, up to a second later, and held its connection and its locks meanwhile.

--- a/io/engine/session.go
+++ b/io/engine/session.go
@@ -265,6 +265,7 @@
 	}
 	event.Log(se.en.log, event.ProtocolFault, "database", se.database, "detail", ref.Detail)
 	se.refuseSession(ref)
+	se.rollBackOpen()
 	se.discardInput()
 	return rq, false
 }
