--- a/core/group/group.go
+++ b/core/group/group.go
@@ -3,7 +3,12 @@
 package group
 
 import (
+	"net/netip"
 	"slices"
+	"strings"
+	"unicode"
+
+	"github.com/cockroachdb/errors"
 )
 
 // Upstream is one member of a database group.
@@ -30,6 +35,36 @@
 	Revision uint64 `json:"revision"`
 }
 
+const (
+	// maxSlots is the highest Slots that is accepted.
+	maxSlots = 1 << 20
+	// maxWordBytes bounds IDs and the names of groups and failure domains.
+	maxWordBytes = 255
+)
+
+// Check returns an error if the upstream cannot be used. Its ID and its group are sent to
+// it, so that they must be single words.
+func (up Upstream) Check() error {
+	isSeparator := func(char rune) bool { return unicode.IsSpace(char) || unicode.IsControl(char) }
+	isWord := func(text string) bool {
+		return text != "" && len(text) <= maxWordBytes && !strings.ContainsFunc(text, isSeparator)
+	}
+	address, err := netip.ParseAddrPort(up.Address)
+	switch {
+	case !isWord(up.ID):
+		return errors.Newf("upstream ID %.100q is not a word", up.ID)
+	case !isWord(up.Group):
+		return errors.Newf("upstream %s: group %.100q is not a word", up.ID, up.Group)
+	case len(up.Domain) > maxWordBytes || strings.ContainsFunc(up.Domain, unicode.IsControl):
+		return errors.Newf("upstream %s: domain %.100q is not a word", up.ID, up.Domain)
+	case err != nil || address.Port() == 0 || address.Addr().IsUnspecified() || address.Addr().IsMulticast():
+		return errors.Newf("upstream %s: want ip:port as address, got %.100q", up.ID, up.Address)
+	case up.Slots < 1 || up.Slots > maxSlots:
+		return errors.Newf("upstream %s: slots %d out of range", up.ID, up.Slots)
+	}
+	return nil
+}
+
 // IsSameIncarnation reports whether both describe the same incarnation of an upstream.
 func (up Upstream) IsSameIncarnation(other Upstream) bool {
 	return up.ID == other.ID && up.Incarnation == other.Incarnation && up.Address == other.Address && up.Group == other.Group
--- a/core/vars/vars.go
+++ b/core/vars/vars.go
@@ -3,10 +3,9 @@
 package vars
 
 import (
+	"crypto/sha256"
+	"encoding/hex"
 	"slices"
-	"strconv"
-
-	"github.com/cespare/xxhash/v2"
 
 	"banyanspring/core/stmt"
 )
@@ -26,18 +25,21 @@
 
 // pooledName returns the name of the prepared statement on pooled connections. It is
 // a hash of Writes and Text, both of which the upstream is given at the
-// preparation. Name is left out, so that callers share equal prepared statements.
+// preparation. Name is left out, so that callers share equal prepared statements. Callers
+// choose the texts, so that the hash must be one for which no two texts of the same hash
+// can be made.
 func (pr Prepared) pooledName() string {
-	dig := xxhash.New()
+	kind := "r"
 	if pr.Writes {
-		_, _ = dig.WriteString("w")
-	} else {
-		_, _ = dig.WriteString("r")
+		kind = "w"
 	}
-	_, _ = dig.WriteString(pr.Text)
-	return "p" + strconv.FormatUint(dig.Sum64(), 36)
+	sum := sha256.Sum256([]byte(kind + pr.Text))
+	return "p" + hex.EncodeToString(sum[:pooledNameBytes])
 }
 
+// pooledNameBytes is how much of the hash is part of a name.
+const pooledNameBytes = 16
+
 // Session is the immutable set of variables and prepared statements of one caller's
 // session.
 type Session struct {
@@ -69,14 +71,21 @@
 	return out
 }
 
-// FromValues returns a session with the variables in the list, which must have the
-// form and the order that Values returns, and without prepared statements.
-func FromValues(list []string) Session {
+// FromValues returns a session with the variables in the list and without prepared
+// statements. It reports false unless the list has the form and the order that Values
+// returns.
+func FromValues(list []string) (Session, bool) {
 	var se Session
-	for pos := 0; pos+1 < len(list); pos += 2 {
+	if len(list)%2 != 0 {
+		return se, false
+	}
+	for pos := 0; pos < len(list); pos += 2 {
+		if pos > 0 && list[pos-2] >= list[pos] {
+			return Session{}, false
+		}
 		se.variables = append(se.variables, variable{name: list[pos], value: list[pos+1]})
 	}
-	return se
+	return se, true
 }
 
 // WithPrepared returns a session with the prepared statement, which replaces one of the
--- a/io/member/former.go
+++ b/io/member/former.go
@@ -152,6 +152,13 @@
 	Bound *[2]uint64 `json:"bound,omitempty"`
 }
 
+func (wf wireFormer) check() error {
+	if err := checkAges(wf.RemovedMs); err != nil {
+		return err
+	}
+	return wf.Upstream.Check()
+}
+
 // toSend returns the former upstreams that may be running or have a bound, for other members.
 func (fo *formers) toSend(now time.Time) []wireFormer {
 	fo.mu.Lock()
--- a/io/member/former_test.go
+++ b/io/member/former_test.go
@@ -18,14 +18,14 @@
 // listUpstreams applies a listing of upstreams of group g.
 func (tm *testMember) listUpstreams(revision uint64, ups ...group.Upstream) {
 	for pos := range ups {
-		ups[pos].Group = "g"
+		ups[pos].Group, ups[pos].Slots = "g", 1
 	}
 	tm.updateView(func(group.View) group.View { return group.NewView(revision, ups) })
 }
 
 func TestUpstreamThatLosesItsEntryIsRemembered(t *testing.T) {
 	tm := newTestMember()
-	one, two := group.Upstream{ID: "one", Address: "a:1"}, group.Upstream{ID: "two", Address: "b:1"}
+	one, two := group.Upstream{ID: "one", Address: "127.0.0.1:1"}, group.Upstream{ID: "two", Address: "127.0.0.1:2"}
 	tm.listUpstreams(1, one, two)
 	require.Empty(t, tm.formers.ofGroup("g"))
 	tm.listUpstreams(2, one)
@@ -39,9 +39,9 @@
 
 // Another incarnation under its ID or at its address shows that an upstream has ended.
 func TestFormerUpstreamEndsWhenAnotherOneTakesItsPlace(t *testing.T) {
-	for _, next := range []group.Upstream{{ID: "two", Address: "b:1", Incarnation: 2}, {ID: "three", Address: "b:1"}} {
+	for _, next := range []group.Upstream{{ID: "two", Address: "127.0.0.1:2", Incarnation: 2}, {ID: "three", Address: "127.0.0.1:2"}} {
 		tm := newTestMember()
-		two := group.Upstream{ID: "two", Address: "b:1", Incarnation: 1, Group: "g"}
+		two := group.Upstream{ID: "two", Address: "127.0.0.1:2", Incarnation: 1, Group: "g"}
 		tm.listUpstreams(1, two)
 		tm.listUpstreams(2, next)
 		require.False(t, tm.formers.mayRun(two))
@@ -53,7 +53,7 @@
 // received.
 func TestBoundOfAnEndedUpstreamIsALaterSample(t *testing.T) {
 	tm := newTestMember()
-	two := group.Upstream{ID: "two", Address: "b:1", Group: "g"}
+	two := group.Upstream{ID: "two", Address: "127.0.0.1:2", Group: "g"}
 	tm.listUpstreams(1, two)
 	tm.listUpstreams(2)
 	ended := tm.now
@@ -72,7 +72,7 @@
 
 // The successor of a coordinator may not reach the leader whose position it would need.
 func TestBoundsReachTheOtherMembers(t *testing.T) {
-	two := group.Upstream{ID: "two", Address: "b:1", Incarnation: 7, Group: "g"}
+	two := group.Upstream{ID: "two", Address: "127.0.0.1:2", Incarnation: 7, Group: "g"}
 	sender, receiver := newTestMember(), newTestMember()
 	for _, tm := range []*testMember{sender, receiver} {
 		tm.listUpstreams(1, two)
--- a/io/member/order.go
+++ b/io/member/order.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"encoding/json"
-	"fmt"
 	"net/http"
 	"sync"
 	"time"
@@ -286,6 +285,20 @@
 	IsRefused bool        `json:"refused,omitempty"`
 }
 
+// check returns an error if the order must not be passed on.
+func (qu *orderQuery) check() error {
+	if qu.Order.Kind == orderUnfreeze {
+		return errors.Newf("order %q is not passed on", qu.Order.Kind)
+	}
+	if err := checkAges(qu.TimeoutMs); err != nil {
+		return err
+	}
+	return qu.Upstream.Check()
+}
+
+// check accepts every reply: a report is only compared with others.
+func (re *orderReply) check() error { return nil }
+
 // errNoRelay is returned if no other member passed an order on.
 var errNoRelay = errors.New("no other member reached the upstream")
 
@@ -356,14 +369,10 @@
 // serve passes an order of another member on to an upstream.
 func (os *orders) serve(rw http.ResponseWriter, rq *http.Request) {
 	var qu orderQuery
-	if err := json.NewDecoder(http.MaxBytesReader(rw, rq.Body, maxOrderBytes)).Decode(&qu); err != nil {
+	if err := readExchange(http.MaxBytesReader(rw, rq.Body, maxOrderBytes), &qu); err != nil {
 		http.Error(rw, err.Error(), http.StatusBadRequest)
 		return
 	}
-	if qu.Order.Kind == orderUnfreeze || qu.Upstream.ID == "" {
-		http.Error(rw, fmt.Sprintf("order %q is not passed on", qu.Order.Kind), http.StatusBadRequest)
-		return
-	}
 	res := os.runForOther(qu.Upstream, min(millis(qu.TimeoutMs), orderTimeout), qu.Order)
 	rw.Header().Set("Content-Type", "application/json")
 	_ = json.NewEncoder(rw).Encode(orderReply{Report: res.report, Error: errText(res.err), IsRefused: res.isRefused()})
