--- a/Makefile
+++ b/Makefile
@@ -53,6 +53,12 @@
 soak: ## run the soak test, which injects faults, with one seed after another; SEED=n FOR=10m
 	$(call each_seed,SOAK_SEED=$$seed SOAK_FOR=$(SOAK_FOR) $(GO) test ./platform -count=1 -run TestSoak -timeout 1h)
 
+COUNT ?= 40
+DIR ?= out/days
+.PHONY: days
+days: ## write days of overlapping releases and faults for deploy/hunt.sh; SEED=n COUNT=40 DIR=out/days
+	DAYS_DIR=$(abspath $(DIR)) DAYS_SEED=$(SEED) DAYS_COUNT=$(COUNT) $(GO) test ./platform -count=1 -run 'TestDays$$'
+
 .PHONY: random
 random: ## run the random-fault test of the promotion logic with one seed after another; SEED=n FOR=10m
 	$(call each_seed,$(GO) test ./core/promo -count=1 -run TestRandomFaults -timeout 1h -rapid.seed=$$seed -rapid.checks=20000)
