--- a/core/elect/random_test.go
+++ b/core/elect/random_test.go
@@ -78,13 +78,14 @@
 	// appointed counts the appointments.
 	appointed int
 	trace     []string
+	// lost describes the first appointment that lost an acknowledged write.
+	lost string
 
 	// What the coordinator knows: the term whose leader has stopped on its order, and the
 	// upstreams that have ended, with their bounds.
 	stoppedTerm uint64
-	ended   map[*upstream]bool
-	bounds  map[*upstream]posn.Position
-	lost    string
+	ended       map[*upstream]bool
+	bounds      map[*upstream]posn.Position
 }
 
 func newSchedule(seed uint64) *schedule {
@@ -161,18 +162,11 @@
 		case 6, 7:
 			sc.acknowledge()
 		case 8:
-			if !sc.isStable && !up.isLeaving && !up.isDown && sc.present() < 6 {
-				sc.join()
-				up.isLeaving = true
-				sc.note("%s is leaving", up.id)
-			}
+			sc.release(up)
 		case 9:
 			sc.end(up)
 		case 10:
-			if !up.isDown {
-				up.isDown = true
-				sc.note("%s crashes", up.id)
-			}
+			sc.crash(up)
 		case 11:
 			if !sc.isStable {
 				sc.restart(up)
@@ -194,6 +188,22 @@
 	}
 }
 
+// release adds an upstream, and another one begins to leave.
+func (sc *schedule) release(up *upstream) {
+	if !sc.isStable && !up.isLeaving && !up.isDown && sc.present() < 6 {
+		sc.join()
+		up.isLeaving = true
+		sc.note("%s is leaving", up.id)
+	}
+}
+
+func (sc *schedule) crash(up *upstream) {
+	if !up.isDown {
+		up.isDown = true
+		sc.note("%s crashes", up.id)
+	}
+}
+
 func (sc *schedule) present() int {
 	count := 0
 	for _, up := range sc.ups {
