Model the events that today's change of leader does not cover

Add, each as a macro of its own, a fourth upstream that joins, a frozen replica that restarts, a running replica without an entry, a replica that leaves, a resume command that is executed twice, a freeze whose answer has an earlier position, and a coordinator that takes a live leader for dead and does not look for replicas frozen by another one.

The assertion "an appointed leader has everything that was acknowledged" fails with each event (-DMAXLEN=1 -DMAXTOKEN=3 -DCALLS=2; SECOND_RESUME: -DMAXLEN=2 -DMAXTOKEN=3 -DCALLS=1):

JOIN errors 1, 2264 states RESTART errors 1, 957 states UNLISTED errors 1, 10772 states LEAVE errors 1, 9427 states EARLY_STATUS errors 1, 1284 states DEAD errors 1, 275199 states SECOND_RESUME errors 1, 33903 states (errors 0, 6050151 states at the size of the others)

Without them it holds as before (4331423 states), also with LATE_RESUME (4536517 states), and each of the seven macros that disable a rule is still found.

--- a/spec/check.sh
+++ b/spec/check.sh
@@ -39,6 +39,14 @@
   run handover "$rule" "" $size "-D$rule"
   grep -q 'errors: 1' "$rule.log"
 done
+# events that the rules do not cover
+for event in JOIN RESTART UNLISTED LEAVE EARLY_STATUS DEAD; do
+  # shellcheck disable=SC2086
+  run handover "$event" "" $size "-D$event"
+  grep -q 'errors: 1' "$event.log"
+done
+run handover SECOND_RESUME "" -DMAXLEN=2 -DMAXTOKEN=3 -DCALLS=1 -DSECOND_RESUME
+grep -q 'errors: 1' SECOND_RESUME.log
 # the assertion holds even if a resume command is executed late
 # shellcheck disable=SC2086
 run handover late_resume "" $size -DLATE_RESUME
--- a/spec/handover.pml
+++ b/spec/handover.pml
@@ -1,8 +1,8 @@
 /* Change of leader on the users' platform. A write is acknowledged once one replica
  * has received it, replicas can be frozen, and a call that appoints a leader may be
  * executed long after its coordinator has given up on it. There are one group of three
- * upstreams and two coordinators (the type Holder: holders of the duty). Every step
- * may be late or never happen.
+ * upstreams, a fourth one that may join, and two coordinators (the type Holder: holders
+ * of the duty). Every step may be late or never happen.
  *
  * Assertion: an appointed leader has received everything that was acknowledged.
  *
@@ -14,8 +14,18 @@
  * report one with RAISE_BY_CALL, where the fence is raised by a call that appoints the
  * present leader. With LATE_RESUME a command to resume a frozen replica may be executed
  * late, and the assertion still holds, because a replica that is found frozen is not
- * relied on. A resume command that is sent twice is not modelled; against it, a
- * coordinator lets a minimum time pass between an unanswered one and its next change.
+ * relied on.
+ *
+ * Each of these macros adds an event that the rules do not cover; the checker reports
+ * an error with each:
+ *   JOIN           a fourth upstream joins
+ *   RESTART        a frozen replica restarts and receives again
+ *   UNLISTED       a replica that is running has no entry for a while
+ *   LEAVE          a replica leaves: it is not a candidate, and its log goes with it
+ *   SECOND_RESUME  a resume command is executed again, late
+ *   EARLY_STATUS   the position in the answer to a freeze is from before the freeze
+ *   DEAD           a coordinator takes a live leader for dead, and does not look for
+ *                  replicas that are frozen for another coordinator
  */
 
 #ifndef MAXLEN
@@ -24,7 +34,7 @@
 #ifndef MAXTOKEN
 #define MAXTOKEN 4               /* maximum number of tokens drawn */
 #endif
-#define UPSTREAMS 3
+#define UPSTREAMS 4
 #ifndef CALLS
 #define CALLS 3                  /* calls that may be in flight, at most 3 */
 #endif
@@ -33,19 +43,25 @@
 byte term = 1;
 byte rcv[UPSTREAMS];             /* received entries */
 bool frozen[UPSTREAMS];
+bool live[UPSTREAMS];            /* the process runs */
+bool listed[UPSTREAMS];          /* the platform lists it */
+bool leaving[UPSTREAMS];
 byte acked = 0;                  /* acknowledged entries */
 byte fence = 0;                  /* highest token that the platform has seen */
 byte drawn = 0;                  /* highest token drawn */
 bool lateResume[UPSTREAMS];      /* a resume command is in flight */
+bool used = false;               /* the event of a macro that happens once has happened */
 
 /* calls in flight; token 0 marks a free slot */
 byte callToken[3];
 byte callTarget[3];
 
+#define TRUNCATE(i) if :: rcv[i] > rcv[leader] -> rcv[i] = rcv[leader] :: else fi
+
 /* execute a call; its token is checked against the fence only now */
 inline carry(c) {
 	if
-	:: callToken[c] < fence -> skip
+	:: callToken[c] < fence || !live[callTarget[c]] -> skip
 	:: else ->
 		fence = callToken[c];
 		if
@@ -54,38 +70,60 @@
 			assert(rcv[callTarget[c]] >= acked);
 			leader = callTarget[c];
 			term++;
-			frozen[0] = false; frozen[1] = false; frozen[2] = false;
-			if :: rcv[0] > rcv[leader] -> rcv[0] = rcv[leader] :: else fi;
-			if :: rcv[1] > rcv[leader] -> rcv[1] = rcv[leader] :: else fi;
-			if :: rcv[2] > rcv[leader] -> rcv[2] = rcv[leader] :: else fi;
+			frozen[0] = false; frozen[1] = false; frozen[2] = false; frozen[3] = false;
+			TRUNCATE(0); TRUNCATE(1); TRUNCATE(2); TRUNCATE(3)
 		fi
 	fi;
 	callToken[c] = 0; callTarget[c] = 0;
 }
 
-#define RECEIVES(i) (i != leader && !frozen[i] && rcv[i] < rcv[leader])
+#define RECEIVE(i) \
+	:: atomic { live[i] && i != leader && !frozen[i] && rcv[i] < rcv[leader] -> rcv[i]++ }
+#define ACKNOWLEDGE(i) \
+	:: atomic { live[i] && i != leader && rcv[i] > acked -> acked = rcv[i] }
 
 active proctype Upstreams() {
+	atomic {
+		live[0] = true; live[1] = true; live[2] = true;
+		listed[0] = true; listed[1] = true; listed[2] = true
+	};
 	do
 	:: atomic { rcv[leader] < MAXLEN -> rcv[leader]++ }
-	:: atomic { RECEIVES(0) -> rcv[0]++ }
-	:: atomic { RECEIVES(1) -> rcv[1]++ }
-	:: atomic { RECEIVES(2) -> rcv[2]++ }
-	:: atomic { leader != 0 && rcv[0] > acked -> acked = rcv[0] }
-	:: atomic { leader != 1 && rcv[1] > acked -> acked = rcv[1] }
-	:: atomic { leader != 2 && rcv[2] > acked -> acked = rcv[2] }
+	RECEIVE(0) RECEIVE(1) RECEIVE(2) RECEIVE(3)
+	ACKNOWLEDGE(0) ACKNOWLEDGE(1) ACKNOWLEDGE(2) ACKNOWLEDGE(3)
 	od
 }
 
+#define EXECUTE_CALL(c) :: atomic { callToken[c] != 0 -> carry(c) }
+#define EXECUTE_RESUME(i) \
+	:: atomic { lateResume[i] -> lateResume[i] = false; frozen[i] = false }
+#define RESTARTS(i) \
+	:: atomic { !used && frozen[i] -> used = true; frozen[i] = false }
+#define LOSES_ENTRY(i) \
+	:: atomic { !used && i != leader && listed[i] -> used = true; listed[i] = false } \
+	:: atomic { live[i] && !listed[i] -> listed[i] = true }
+#define LEAVES(i) \
+	:: atomic { !used && i != leader && listed[i] -> used = true; leaving[i] = true } \
+	:: atomic { leaving[i] && i != leader -> leaving[i] = false; live[i] = false; \
+		listed[i] = false; frozen[i] = false; rcv[i] = 0 }
+
 active proctype Platform() {
 	do
-	:: atomic { callToken[0] != 0 -> carry(0) }
-	:: atomic { callToken[1] != 0 -> carry(1) }
-	:: atomic { callToken[2] != 0 -> carry(2) }
-#ifdef LATE_RESUME
-	:: atomic { lateResume[0] -> lateResume[0] = false; frozen[0] = false }
-	:: atomic { lateResume[1] -> lateResume[1] = false; frozen[1] = false }
-	:: atomic { lateResume[2] -> lateResume[2] = false; frozen[2] = false }
+	EXECUTE_CALL(0) EXECUTE_CALL(1) EXECUTE_CALL(2)
+#if defined(LATE_RESUME) || defined(SECOND_RESUME)
+	EXECUTE_RESUME(0) EXECUTE_RESUME(1) EXECUTE_RESUME(2)
+#endif
+#ifdef JOIN
+	:: atomic { !live[3] && live[2] -> live[3] = true; listed[3] = true }
+#endif
+#ifdef RESTART
+	RESTARTS(0) RESTARTS(1) RESTARTS(2)
+#endif
+#ifdef UNLISTED
+	LOSES_ENTRY(0) LOSES_ENTRY(1) LOSES_ENTRY(2)
+#endif
+#ifdef LEAVE
+	LEAVES(0) LEAVES(1) LEAVES(2)
 #endif
 	od
 }
@@ -100,10 +138,33 @@
 	fi
 }
 
+#define IS_REPLICA(i) (listed[i] && i != old)
+#define MAY_LEAD(i) (IS_REPLICA(i) && !leaving[i])
+#define IS_FOREIGN(i) (IS_REPLICA(i) && frozen[i])
+#define ASK(i) asked[i] = IS_REPLICA(i) && i != cand
+#define READ(i) if :: asked[i] && rcv[i] > seen -> seen = rcv[i] :: else fi
+#define FREEZE(i) if :: asked[i] && live[i] -> frozen[i] = true :: else fi
+#define IS_NEW(i) (IS_REPLICA(i) && i != cand && !asked[i])
+/* a replica stays frozen if its resume command is late, and with SECOND_RESUME the
+ * command is executed a second time */
+#if defined(LATE_RESUME)
+#define RESUME(i) if :: asked[i] -> lateResume[i] = true :: else fi
+#elif defined(SECOND_RESUME)
+#define RESUME(i) if :: asked[i] -> frozen[i] = false; lateResume[i] = true :: else fi
+#else
+#define RESUME(i) if :: asked[i] -> frozen[i] = false :: else fi
+#endif
+#ifdef DEAD
+#define MAY_BE_DEAD true
+#else
+#define MAY_BE_DEAD false
+#endif
+
 /* A coordinator makes one change after the other. Answers to calls are not modelled:
  * any call may still be in flight. */
 active [2] proctype Holder() {
-	byte tok, cand, other, old, seen, held;
+	byte tok, cand, old, seen, held;
+	bool asked[UPSTREAMS];        /* the replicas that are frozen for this change */
 	bool pending;                /* an unanswered call for cand may still be executed */
 	atomic { if :: drawn < MAXTOKEN -> drawn++; tok = drawn :: else -> goto done fi }
 again:
@@ -122,31 +183,45 @@
 		if :: pending && cand == old -> pending = false; goto next :: else -> skip fi;
 		if
 		:: pending -> skip
-		:: !pending && old != 0 -> cand = 0
-		:: !pending && old != 1 -> cand = 1
-		:: !pending && old != 2 -> cand = 2
+		:: !pending && MAY_LEAD(0) -> cand = 0
+		:: !pending && MAY_LEAD(1) -> cand = 1
+		:: !pending && MAY_LEAD(2) -> cand = 2
+		:: !pending && MAY_LEAD(3) -> cand = 3
+		:: else -> goto done
 		fi;
 #else
 		if
-		:: old != 0 -> cand = 0
-		:: old != 1 -> cand = 1
-		:: old != 2 -> cand = 2
+		:: MAY_LEAD(0) -> cand = 0
+		:: MAY_LEAD(1) -> cand = 1
+		:: MAY_LEAD(2) -> cand = 2
+		:: MAY_LEAD(3) -> cand = 3
+		:: else -> goto done
 		fi;
 #endif
-		other = 3 - old - cand;
 #ifndef NO_FREEZE
 #ifndef NO_FOREIGN
 		/* another coordinator has frozen it and may resume it at any time */
-		if :: (frozen[other] || frozen[cand]) && !pending -> goto done :: else -> skip fi;
+		if
+		:: (IS_FOREIGN(0) || IS_FOREIGN(1) || IS_FOREIGN(2) || IS_FOREIGN(3)) && !pending -> goto done
+		:: MAY_BE_DEAD || pending || !(IS_FOREIGN(0) || IS_FOREIGN(1) || IS_FOREIGN(2) || IS_FOREIGN(3)) -> skip
+		fi;
+#endif
 #endif
-		frozen[other] = true;
+		ASK(0); ASK(1); ASK(2); ASK(3);
+		seen = 0; READ(0); READ(1); READ(2); READ(3);
+#ifdef EARLY_STATUS
+	};
+	atomic {
+#endif
+#ifndef NO_FREEZE
+		FREEZE(0); FREEZE(1); FREEZE(2); FREEZE(3)
 #endif
-		seen = rcv[other]
 	};
 	atomic {
 #ifndef NO_CONFIRM
 		if
 		:: term > held || rcv[cand] < seen -> goto giveUp
+		:: IS_NEW(0) || IS_NEW(1) || IS_NEW(2) || IS_NEW(3) -> goto giveUp
 		:: else -> skip
 		fi;
 #endif
@@ -170,11 +245,7 @@
 #endif
 		if
 		:: pending -> skip
-#ifdef LATE_RESUME
-		:: !pending -> lateResume[other] = true
-#else
-		:: !pending -> frozen[other] = false
-#endif
+		:: !pending -> RESUME(0); RESUME(1); RESUME(2); RESUME(3)
 		fi
 	};
 next:
