--- a/io/member/monitor.go
+++ b/io/member/monitor.go
@@ -182,18 +182,12 @@
 	mo.forgetFreezes(ups)
 	mo.checkFormers(now)
 	defer mo.beginFrozenCheck(ups, now)
-	if op.Leader != "" && op.Leader != mo.leader {
-		if mo.leader != "" {
-			// The leader changed, but not by this monitor, which sets leader itself.
-			mo.changedAt = now
-		}
-		mo.leader, mo.watchedSince, mo.refused = op.Leader, now, false
-		mo.heardAt = time.Time{}
+	mo.followLeader(op.Leader, now)
+	if mo.isChanging {
+		return
 	}
-	if mo.leader == "" && !mo.isChanging {
+	if mo.leader == "" {
 		mo.beginWithoutLeader(ctx, ups, now)
-	}
-	if mo.leader == "" || mo.isChanging {
 		return
 	}
 	leader, isListed := vi.GetUpstreamByID(mo.leader)
@@ -229,6 +223,18 @@
 	go mo.changeLeader(ctx, reason)
 }
 
+// followLeader monitors another leader if the engine has found one; mu is held.
+func (mo *monitor) followLeader(leader string, now time.Time) {
+	if leader == "" || leader == mo.leader {
+		return
+	}
+	if mo.leader != "" {
+		// The leader changed, but not by this monitor, which sets leader itself.
+		mo.changedAt = now
+	}
+	mo.leader, mo.watchedSince, mo.refused, mo.heardAt = leader, now, false, time.Time{}
+}
+
 // beginWithoutLeader starts a change if no leader has been known for a while: all instances may
 // have ended after they had stopped the leader. It finds an upstream that leads, or freezes
 // all and appoints one; mu is held.
