Continue a change whose candidate is out of reach

A group whose pending candidate was listed but silent then had no leader for good (TestGroupGetsALeaderWhileThePendingCandidateIsOutOfReach failed once after 30 s).

--- a/io/member/change_survey.go
+++ b/io/member/change_survey.go
@@ -106,8 +106,8 @@
 type stoppedLeader struct {
 	id   string
 	term uint64
-	// until is when the stop is no longer a proof unless all replicas answer: another
-	// coordinator may have appointed one that does not.
+	// until is when the stop is no longer a proof unless a replica answers, of the same term
+	// then: another coordinator may have appointed one that does not.
 	until time.Time
 }
 
@@ -116,8 +116,8 @@
 	if sl.id != ch.leader.ID || sl.term != ch.term {
 		return false
 	}
-	isSilent := func(up group.Upstream) bool { return ch.results[up.ID].err != nil }
-	return now.Before(sl.until) || !slices.ContainsFunc(ch.replicas, isSilent)
+	hasAnswered := func(up group.Upstream) bool { return ch.results[up.ID].err == nil }
+	return now.Before(sl.until) || slices.ContainsFunc(ch.replicas, hasAnswered)
 }
 
 // checkLeader notes whether the leader was stopped by an earlier attempt. It returns
