--- a/io/member/change_freeze.go
+++ b/io/member/change_freeze.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"slices"
+	"time"
 
 	"github.com/cockroachdb/errors"
 
@@ -43,12 +44,28 @@
 // members confirm the listing: it may lack upstreams through which the leader
 // acknowledges writes.
 func (mo *monitor) confirmListing() error {
-	if err := mo.me.refreshListing(context.Background()); err != nil && !mo.hearsMajority() {
-		return errors.Wrap(errListingOld, err.Error())
+	began := mo.me.deps.Now()
+	err := mo.me.refreshListing(context.Background())
+	if err == nil {
+		return nil
+	}
+	for until := began.Add(confirmTimeout); !mo.hasHeardMajority(began); {
+		if !mo.me.deps.Now().Before(until) {
+			return errors.Wrap(errListingOld, err.Error())
+		}
+		time.Sleep(confirmPause)
 	}
 	return nil
 }
 
+const (
+	// confirmTimeout is how long most members may take to be heard from if the store does
+	// not confirm the listing; exchanges take place twice in that time.
+	confirmTimeout = 2 * exchangeInterval
+	// confirmPause is the time between two checks of that.
+	confirmPause = 10 * time.Millisecond
+)
+
 // awaitListing returns the result of confirmListing, and calls it if that was not started.
 func (mo *monitor) awaitListing(ch *leaderChange) error {
 	if ch.confirmation == nil {
@@ -68,17 +85,16 @@
 	mo.logStep("freeze", "the former leader receives the log", map[string]orderResult{ch.leader.ID: ch.leaderResult})
 }
 
-// hearsMajority reports whether most members have sent an opinion on the group's
-// leader lately, and none a newer listing. A member that hears from fewer and does not reach
-// the store may lack upstreams in its listing.
-func (mo *monitor) hearsMajority() bool {
+// hasHeardMajority reports whether most members have formed an opinion on the group's leader
+// since the time given that has reached this one, and none has sent a newer listing lately. A
+// member that hears from fewer and does not reach the store may lack upstreams in its listing.
+func (mo *monitor) hasHeardMajority(since time.Time) bool {
 	heard := 1
-	now := mo.me.deps.Now()
-	if now.Sub(mo.me.newerListingAt.load()) <= maxOpinionAge {
+	if mo.me.deps.Now().Sub(mo.me.newerListingAt.load()) <= maxOpinionAge {
 		return false
 	}
 	for _, op := range mo.me.opinions.forGroup(mo.name) {
-		if now.Sub(op.ReceivedAt) <= maxOpinionAge {
+		if !op.ReceivedAt.Before(since) {
 			heard += max(1, op.Count)
 		}
 	}
--- a/io/member/order_test.go
+++ b/io/member/order_test.go
@@ -110,3 +110,17 @@
 	tm.list("there", strings.Split("abcdefghijklmnop", "")...)
 	require.Len(t, names(), maxDomainRelays)
 }
+
+// A coordinator that has just been cut off still holds the others' opinions of before.
+func TestListingIsConfirmedOnlyByWhatIsHeardSince(t *testing.T) {
+	tm := newTestMember()
+	tm.list("there", "a", "b")
+	mo := tm.monitors.get("g", tm.now)
+	for _, name := range []string{"a", "b"} {
+		tm.opinions.add(wireOpinion{From: name, Group: "g", Leader: "one"}, tm.now)
+	}
+	require.True(t, mo.hasHeardMajority(tm.now))
+	require.False(t, mo.hasHeardMajority(tm.now.Add(time.Millisecond)))
+	tm.newerListingAt.advance(tm.now)
+	require.False(t, mo.hasHeardMajority(tm.now))
+}
