Wait less for upstreams without an entry during a change

Those get 100 ms in the survey and are not asked after the stop, whose proof does not need them; a freeze still asks all.

--- a/io/member/change_freeze.go
+++ b/io/member/change_freeze.go
@@ -24,7 +24,7 @@
 	go func() { stopped <- mo.stopSilentLeader(ch) }()
 	ch.frozen = ch.replicas
 	mo.recordFreeze(ch.frozen)
-	results := mo.sendToReplicas(ch, orderTimeout, order{Kind: orderFreeze, Term: ch.term + 1})
+	results := mo.sendToReplicas(ch, order{Kind: orderFreeze, Term: ch.term + 1}, func(group.Upstream) time.Duration { return orderTimeout })
 	ch.confirmFreeze(results)
 	mo.logStep("freeze", "the leader must not acknowledge anything more through a replica", results)
 	if id, ok := mo.restartedSince(ch); ok {
@@ -35,7 +35,7 @@
 		mo.applyStop(ch, res)
 	}
 	mo.freezeResigned(ch)
-	mo.askReplicas(ch, orderTryTimeout, order{Kind: orderStatus})
+	mo.readBack(ch)
 	mo.logStep("prove", "the replicas are frozen immediately before the call", ch.allResults())
 	return nil
 }
--- a/io/member/change_state.go
+++ b/io/member/change_state.go
@@ -1,6 +1,7 @@
 package member
 
 import (
+	"maps"
 	"slices"
 	"time"
 
@@ -74,13 +75,44 @@
 	return mo.me.orders.runAnyhow(ch.leader, timeout, wait, or)
 }
 
-// askReplicas sends an order to all replicas and keeps the answers.
-func (mo *monitor) askReplicas(ch *leaderChange, timeout time.Duration, or order) {
-	ch.results = mo.sendToReplicas(ch, timeout, or)
+// askReplicas asks all replicas for their reports. Those without an entry, most of which have
+// just ended, get less time: only a freeze needs their answers.
+func (mo *monitor) askReplicas(ch *leaderChange, timeout time.Duration) {
+	ch.results = mo.sendToReplicas(ch, order{Kind: orderStatus}, func(up group.Upstream) time.Duration {
+		if _, isListed := ch.view.GetUpstreamByID(up.ID); !isListed {
+			return min(timeout, unlistedTimeout)
+		}
+		return timeout
+	})
+}
+
+// unlistedTimeout bounds a request for a report to an upstream without an entry.
+const unlistedTimeout = 100 * time.Millisecond
+
+// askListed asks the listed replicas for their reports, and keeps the earlier answers of the
+// others.
+func (mo *monitor) askListed(ch *leaderChange, timeout time.Duration) {
+	results := maps.Clone(ch.results)
+	var listed []group.Upstream
+	for _, up := range ch.replicas {
+		if _, isListed := ch.view.GetUpstreamByID(up.ID); isListed {
+			listed = append(listed, up)
+		}
+	}
+	maps.Copy(results, forAll(listed, func(up group.Upstream) orderResult {
+		return mo.me.orders.runAnyhow(up, timeout, relayAfter, order{Kind: orderStatus})
+	}))
+	ch.results = results
+}
+
+// readBack asks all replicas for their reports after they were ordered to freeze.
+func (mo *monitor) readBack(ch *leaderChange) {
+	ch.results = mo.sendToReplicas(ch, order{Kind: orderStatus}, func(group.Upstream) time.Duration { return orderTryTimeout })
 }
 
-func (mo *monitor) sendToReplicas(ch *leaderChange, timeout time.Duration, or order) map[string]orderResult {
-	results := forAll(ch.replicas, func(up group.Upstream) orderResult { return mo.me.orders.runAnyhow(up, timeout, relayAfter, or) })
+// sendToReplicas sends an order to all replicas, also through other members.
+func (mo *monitor) sendToReplicas(ch *leaderChange, or order, timeout func(up group.Upstream) time.Duration) map[string]orderResult {
+	results := forAll(ch.replicas, func(up group.Upstream) orderResult { return mo.me.orders.runAnyhow(up, timeout(up), relayAfter, or) })
 	mo.recordEnded(ch, results)
 	return results
 }
--- a/io/member/change_stop.go
+++ b/io/member/change_stop.go
@@ -37,7 +37,7 @@
 		if !delay.Pause(ctx, catchUpPause) {
 			return ctx.Err()
 		}
-		mo.askReplicas(ch, catchUpTimeout, order{Kind: orderStatus})
+		mo.askListed(ch, catchUpTimeout)
 	}
 	mo.logStep("catch_up", "the leader goes on until a replica has received its log", ch.allResults())
 	return errNotStaying
@@ -68,7 +68,7 @@
 func (mo *monitor) awaitStoppedLog(ctx context.Context, ch *leaderChange) (elect.Replica, bool) {
 	until := mo.me.deps.Now().Add(stoppedCatchUp)
 	for {
-		mo.askReplicas(ch, catchUpTimeout, order{Kind: orderStatus})
+		mo.askListed(ch, catchUpTimeout)
 		st := withoutFreezes(mo.state(ch))
 		candidates, obstacle := st.Candidates()
 		if obstacle != elect.NoObstacle {
--- a/io/member/change_survey.go
+++ b/io/member/change_survey.go
@@ -30,7 +30,7 @@
 		ch.confirmation = make(chan error, 1)
 		go func() { ch.confirmation <- mo.confirmListing() }()
 	}
-	mo.askReplicas(ch, surveyTimeout, order{Kind: orderStatus})
+	mo.askReplicas(ch, surveyTimeout)
 	ch.leaderResult = <-leaderResult
 	ch.term = highestTerm(ch.results)
 	if ch.leaderResult.err == nil {
