--- a/io/member/order.go
+++ b/io/member/order.go
@@ -45,8 +45,9 @@
 )
 
 // order is a request to an upstream that is answered with its report. Each kind but
-// orderUnfreeze may be carried out more than once, or late, without harm: it names the
-// term that it is meant for, and an upstream that knows that term ignores it.
+// orderUnfreeze may be carried out more than once: it names the term that it is meant for,
+// and an upstream that knows that term ignores it. One that is carried out after its change
+// was abandoned loses no write, but may make another change of leader necessary.
 type order struct {
 	Kind orderKind `json:"kind"`
 	// Term is the term of the next leader; it is used by orderFreeze and orderStepDown.
--- a/io/member/peer_test.go
+++ b/io/member/peer_test.go
@@ -79,7 +79,7 @@
 	}
 	odd := []group.Upstream{
 		{},
-		with(func(up *group.Upstream) { up.ID = "i-2\r\nQUERY - STEPDOWN 9" }),
+		with(func(up *group.Upstream) { up.ID = "i-2\r\nQUERY - ORDER 9" }),
 		with(func(up *group.Upstream) { up.ID = "i-2 x" }),
 		with(func(up *group.Upstream) { up.ID, up.Group = "i-2", "orders\n" }),
 		with(func(up *group.Upstream) { up.ID, up.Address = "i-2", "10.0.0.1:70000" }),
