Pass on writes only with contact to most members

Callers saw: a write was reported as a success and was not in the log of the database that was promoted (LOST; "a known replica had it").

Cause: a change whose leader cannot be stopped rested on frozen replicas alone. A replica that joins after the freeze reaches the old leader before the coordinator reads its entry, and the old leader acknowledges through it until the promotion takes effect. Ruled out: shorter pauses between reads of the listing (they narrow the window), and leases confirmed by a replica (the new one confirms).

Change: an instance passes on writes, and reports their success, only under a permit, which the exchanges renew while more than half of the members are in contact (core/quorum). Before a coordinator relies on frozen replicas it suspends the writes to that leader at all members. The listing is confirmed after that, so that a replica through which a success was reported is known and frozen. A write that was not sent is refused as not run, one that was is in doubt.

--- a/core/event/event.go
+++ b/core/event/event.go
@@ -59,6 +59,8 @@
 	DutyRefused    ID = 406
 	DutyLeft       ID = 407
 	ListsDelayed   ID = 409
+	PermitLost     ID = 410
+	PermitRegained ID = 411
 
 	DocumentAdopted  ID = 501
 	DocumentRejected ID = 502
@@ -136,6 +138,9 @@
 	{DutyRefused, slog.LevelWarn, "duty_refused", "The platform refused to appoint the candidate because it knows a newer coordinator or the candidate is not running; this instance requests a new token and starts no change of primary without one."},
 	{ListsDelayed, slog.LevelWarn, "lists_delayed", "This instance could not receive the listing of upstreams and the list of instances, which are too large for an exchange, from another instance; it asks again. Check the load of the links."},
 
+	{PermitLost, slog.LevelWarn, "permit_lost", "This instance has not been in contact with most of the others for so long that it passes on no writes and reports no write as a success; the event names how long ago it last was (0 if never). Reads go on. Check the network between the instances."},
+	{PermitRegained, slog.LevelInfo, "permit_regained", "This instance is in contact with most of the others again and passes on writes; the event names for how long it did not."},
+
 	{DocumentAdopted, slog.LevelInfo, "document_adopted", "A newer configuration document took effect on this instance. On the users' platform, the event names the instance it came from, or the store, and how long it had been known to exist."},
 	{DocumentDelayed, slog.LevelWarn, "document_delayed", "A newer configuration document is known from another instance but could not be received from it; the event names both versions, how long the request took, and how long the newer one has been known. Check the load of the links."},
 	{DocumentRead, slog.LevelInfo, "document_read", "This instance read the complete configuration document from the store, or failed to: it is the coordinator, or what it had was no longer confirmed. The event names how long ago the store last confirmed it (0 if never) and how long the call took."},
--- a/io/engine/engine.go
+++ b/io/engine/engine.go
@@ -43,11 +43,22 @@
 	// IsReady reports whether this instance has the configuration and state
 	// that it needs to serve callers.
 	IsReady func() bool
+	// WriteObstacle returns why no write may be passed on to the group's leader with the ID
+	// given, nor reported as a success.
+	WriteObstacle func(group, leader string) Obstacle
 	// OnStatement is called after each data statement that was answered, with
 	// success or with a refusal.
 	OnStatement func(ob Observation)
 }
 
+// Obstacle is why this instance passes on no writes to a leader.
+type Obstacle struct {
+	// Reason is empty if there is no obstacle.
+	Reason string
+	// IsFinal is true if it is of no use to wait: another instance may serve the write.
+	IsFinal bool
+}
+
 // Observation is the outcome of one data statement, as its caller saw it.
 type Observation struct {
 	Group       string
--- a/io/engine/single.go
+++ b/io/engine/single.go
@@ -1,6 +1,7 @@
 package engine
 
 import (
+	"cmp"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -85,18 +86,22 @@
 
 // awaitLeader returns the leader, for a read or for a transaction that may write. If
 // there is none that can be used, it probes the members and waits for one until the
-// deadline. If it is known that none can be written to before the deadline, it refuses at
-// once.
+// deadline. If it is known that none can be written to before the deadline, or by this
+// instance, it refuses at once.
 func (ex *execution) awaitLeader(mayWrite bool) (*upstream, *codes.Refusal) {
 	for {
 		now := ex.en.deps.Now()
 		up, changed := ex.gr.usableLeader(now, mayWrite)
-		if up != nil && !up.isAvoided(now) {
+		var obstacle Obstacle
+		if up != nil && mayWrite {
+			obstacle = ex.en.deps.WriteObstacle(ex.gr.name, up.id())
+		}
+		if up != nil && !up.isAvoided(now) && obstacle.Reason == "" {
 			return up, nil
 		}
 		left := ex.rq.deadline.Sub(now)
-		if left <= 0 || (mayWrite && ex.gr.writesFrom().After(ex.rq.deadline)) {
-			return nil, ex.noUpstream(ex.gr.leaderObstacle(now))
+		if left <= 0 || obstacle.IsFinal || (mayWrite && ex.gr.writesFrom().After(ex.rq.deadline)) {
+			return nil, ex.noUpstream(cmp.Or(obstacle.Reason, ex.gr.leaderObstacle(now)))
 		}
 		ex.en.probeMembers(ex.gr)
 		timer := time.NewTimer(min(left, leaderPollInterval))
@@ -185,9 +190,21 @@
 	up.recordApplied(res.Position)
 	up.wroteAt.Store(ex.en.deps.Now().UnixNano())
 	ex.gr.recordLeaderProof(up, sentAt, res.Position)
+	if ref := ex.en.checkSuccess(ex.gr.name, up); ref != nil {
+		return stmt.Result{}, ref
+	}
 	return res, nil
 }
 
+// checkSuccess returns the refusal of a write that its leader has acknowledged if this
+// instance may not report a success: the leader may have been replaced by one without it.
+func (en *Engine) checkSuccess(name string, up *upstream) *codes.Refusal {
+	if ob := en.deps.WriteObstacle(name, up.id()); ob.Reason != "" {
+		return codes.Refuse(codes.OutcomeUnknown, "%s has acknowledged it, but %s", up.id(), ob.Reason)
+	}
+	return nil
+}
+
 // firstQueueTimeout limits how long a read queues at one upstream before it tries
 // the next one: a few times the duration of a statement. An instance sees too
 // little of each upstream's load to avoid the overloaded ones in advance.
--- a/io/engine/transaction.go
+++ b/io/engine/transaction.go
@@ -130,6 +130,10 @@
 // runNext runs a further statement on the transaction's connection.
 func (tx *transaction) runNext(rq *request) (stmt.Result, *codes.Refusal) {
 	wroteBefore := tx.wrote
+	isWrite := rq.st.IsWrite() || (rq.st.Kind == stmt.Commit && wroteBefore)
+	if ob := tx.writeObstacle(rq, isWrite); ob.Reason != "" {
+		return stmt.Result{}, codes.Refuse(codes.TransactionLost, "%s: %s", tx.up.id(), ob.Reason)
+	}
 	tx.wrote = tx.wrote || rq.st.IsWrite()
 	for pause := minBusyPause; ; pause = min(2*pause, maxBusyPause) {
 		done := tx.up.startStatement(tx.en.deps.Now)
@@ -152,6 +156,11 @@
 		res := results[0]
 		if res.Code == codes.OK {
 			tx.finishCommit(rq, res)
+			if rq.st.Kind == stmt.Commit && wroteBefore {
+				if ref := tx.en.checkSuccess(rq.session.target.Group, tx.up); ref != nil {
+					return stmt.Result{}, ref
+				}
+			}
 			return res, nil
 		}
 		now := tx.en.deps.Now()
@@ -164,6 +173,15 @@
 	}
 }
 
+// writeObstacle returns why the statement must not be passed on if it writes or commits
+// writes.
+func (tx *transaction) writeObstacle(rq *request, isWrite bool) Obstacle {
+	if !isWrite {
+		return Obstacle{}
+	}
+	return tx.en.deps.WriteObstacle(rq.session.target.Group, tx.up.id())
+}
+
 // recordRefusal records the upstream as not leading if that is why it refused a
 // further statement, and returns the refusal for the caller.
 func (tx *transaction) recordRefusal(rq *request, res stmt.Result, now time.Time) *codes.Refusal {
--- a/io/member/appointments.go
+++ b/io/member/appointments.go
@@ -209,6 +209,9 @@
 			frozen = append(frozen, up)
 		}
 	}
+	if su, ok := mo.me.permits.inForce(mo.name); ok {
+		mo.liftSuspension(su)
+	}
 	if len(frozen) > 0 {
 		event.Log(mo.me.log, event.ReplicasThawed, "group", mo.name, "replicas", len(frozen), "leader", leader)
 		mo.unfreeze(frozen, "the leader leads, and no call that relies on the freeze can be carried out any more")
--- a/io/member/change_freeze.go
+++ b/io/member/change_freeze.go
@@ -12,13 +12,18 @@
 
 // freezeAll freezes all replicas, those included that have just joined, and reads back
 // that they are frozen. A leader that nobody reached is ordered to step down meanwhile, in
-// case that it goes on.
-func (mo *monitor) freezeAll(ch *leaderChange) error {
+// case that it goes on. If it does not confirm that, no write that it acknowledges from then
+// on may reach a caller: it may do so through an upstream that has joined and is not listed
+// here yet. The listing is confirmed after that.
+func (mo *monitor) freezeAll(ctx context.Context, ch *leaderChange) error {
 	if err := mo.checkFreeze(ch); err != nil {
 		return err
 	}
-	if err := mo.awaitListing(ch); err != nil {
-		return err
+	if !ch.isStopped {
+		mo.beginSuspension(ch)
+		if err := mo.awaitQuorum(ctx, ch); err != nil {
+			return err
+		}
 	}
 	stopped := make(chan orderResult, 1)
 	go func() { stopped <- mo.stopSilentLeader(ch) }()
@@ -27,13 +32,21 @@
 	results := mo.sendToReplicas(ch, order{Kind: orderFreeze, Term: ch.term + 1}, func(group.Upstream) time.Duration { return orderTimeout })
 	ch.confirmFreeze(results)
 	mo.logStep("freeze", "the leader must not acknowledge anything more through a replica", results)
+	if res := <-stopped; res.err == nil {
+		mo.applyStop(ch, res)
+	}
+	if !ch.isStopped {
+		if err := mo.awaitSuspension(ctx, ch); err != nil {
+			return err
+		}
+	}
+	if err := mo.confirmListing(ctx, ch); err != nil {
+		return err
+	}
 	if id, ok := mo.restartedSince(ch); ok {
 		return errors.Wrap(errRestarted, id)
 	}
 	mo.freezeJoined(ch)
-	if res := <-stopped; res.err == nil {
-		mo.applyStop(ch, res)
-	}
 	mo.freezeResigned(ch)
 	mo.readBack(ch)
 	mo.logStep("prove", "the replicas are frozen immediately before the call", ch.allResults())
@@ -43,10 +56,10 @@
 // confirmListing reads the listing again. It returns an error if neither the store nor most
 // members confirm the listing: it may lack upstreams through which the leader
 // acknowledges writes.
-func (mo *monitor) confirmListing() error {
+func (mo *monitor) confirmListing(ctx context.Context, ch *leaderChange) error {
 	began := mo.me.deps.Now()
-	err := mo.me.refreshListing(context.Background())
-	if err == nil {
+	err := mo.me.refreshListing(ctx)
+	if err == nil || (ch.suspension != nil && ch.suspension.confirmsListing(mo.me.listing().ContentRevision)) {
 		return nil
 	}
 	for until := began.Add(confirmTimeout); !mo.hasHeardMajority(began); {
@@ -66,14 +79,6 @@
 	confirmPause = 10 * time.Millisecond
 )
 
-// awaitListing returns the result of confirmListing, and calls it if that was not started.
-func (mo *monitor) awaitListing(ch *leaderChange) error {
-	if ch.confirmation == nil {
-		return mo.confirmListing()
-	}
-	return <-ch.confirmation
-}
-
 // freezeResigned freezes an upstream that was taken for the leader and answers as a replica:
 // the present leader may acknowledge writes because of it.
 func (mo *monitor) freezeResigned(ch *leaderChange) {
--- a/io/member/change_survey.go
+++ b/io/member/change_survey.go
@@ -27,8 +27,7 @@
 	leaderResult := make(chan orderResult, 1)
 	go func() { leaderResult <- mo.askLeader(ch, leaderTimeout, order{Kind: orderStatus}) }()
 	if ch.isSilent {
-		ch.confirmation = make(chan error, 1)
-		go func() { ch.confirmation <- mo.confirmListing() }()
+		mo.beginSuspension(ch)
 	}
 	mo.askReplicas(ch, surveyTimeout)
 	ch.leaderResult = <-leaderResult
--- /dev/null
+++ b/io/member/change_suspend.go
@@ -0,0 +1,195 @@
+package member
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"banyanspring/core/event"
+	"banyanspring/core/quorum"
+)
+
+var (
+	errNoQuorum      = errors.New("fewer than half of the members confirm that they pass on no more writes")
+	errWritesPending = errors.New("a member may still pass on writes")
+)
+
+// suspendPath is where members ask each other to end the writes to a leader.
+const suspendPath = "/v1/suspend"
+
+// suspendReply is a member's answer to a suspension.
+type suspendReply struct {
+	quorum.Answer
+	// Listing is the revision of the member's listing.
+	Listing uint64 `json:"listing"`
+}
+
+func (re *suspendReply) check() error { return re.Check() }
+
+// suspendQuery asks a member to apply a suspension.
+type suspendQuery struct{ quorum.WireSuspension }
+
+func (qu *suspendQuery) check() error { return qu.Check() }
+
+// suspension is the state of the suspension of a change.
+type suspension struct {
+	quorum.Suspension
+	ending  *quorum.Ending
+	answers chan memberAnswer
+	// listing is the highest revision of a listing that a member has.
+	listing uint64
+}
+
+type memberAnswer struct {
+	name  string
+	reply suspendReply
+	at    time.Time
+}
+
+// serveSuspension applies another member's suspension.
+func (ps *peers) serveSuspension(rw http.ResponseWriter, rq *http.Request) {
+	var qu suspendQuery
+	if err := readExchange(http.MaxBytesReader(rw, rq.Body, maxOrderBytes), &qu); err != nil {
+		http.Error(rw, err.Error(), http.StatusBadRequest)
+		return
+	}
+	re := suspendReply{
+		Answer:  ps.me.permits.suspend(qu.Suspension(ps.me.deps.Now())),
+		Listing: ps.me.listing().ContentRevision,
+	}
+	rw.Header().Set("Content-Type", "application/json")
+	_ = json.NewEncoder(rw).Encode(re)
+}
+
+// beginSuspension asks all members to pass on no more writes to the leader of the change,
+// which may not have stopped.
+func (mo *monitor) beginSuspension(ch *leaderChange) {
+	if ch.suspension != nil {
+		return
+	}
+	names := mo.me.roster.names()
+	su := mo.me.permits.begin(mo.name, ch.leader.ID, ch.token)
+	ch.suspension = &suspension{Suspension: su, ending: quorum.NewEnding(names), answers: make(chan memberAnswer, len(names))}
+	ch.suspension.ending.Add(mo.me.settings.Name, mo.me.permits.suspend(su), mo.me.deps.Now())
+	mo.sendSuspension(su, ch.callBy, ch.suspension.answers)
+}
+
+// sendSuspension sends a suspension to all other members in the background, until the time
+// given at most, and passes on their answers.
+func (mo *monitor) sendSuspension(su quorum.Suspension, until time.Time, answers chan<- memberAnswer) {
+	ctx, cancel := context.WithTimeout(context.Background(), until.Sub(mo.me.deps.Now()))
+	var wg sync.WaitGroup
+	for _, en := range mo.me.roster.others() {
+		wg.Add(1)
+		go func() {
+			defer wg.Done()
+			qu := suspendQuery{su.Wire(mo.me.deps.Now())}
+			var re suspendReply
+			if err := mo.me.peers.post(ctx, "http://"+en.Address+suspendPath, qu, &re); err == nil {
+				answers <- memberAnswer{name: en.Name, reply: re, at: mo.me.deps.Now()}
+			}
+		}()
+	}
+	go func() {
+		wg.Wait()
+		cancel()
+	}()
+}
+
+// awaitSuspension waits until nobody passes on writes to the leader any more, but not until
+// the appointment would be too late. A member that does not answer may have a permit for
+// quorum.Duration after its last contact to one that does.
+func (mo *monitor) awaitSuspension(ctx context.Context, ch *leaderChange) error {
+	su, began := ch.suspension, mo.me.deps.Now()
+	for {
+		now := mo.me.deps.Now()
+		endsAt, isKnown := su.ending.EndsAt()
+		if isKnown && !now.Before(endsAt) {
+			mo.logSuspension(ch, "no member passes on writes to the leader any more", now.Sub(began))
+			return nil
+		}
+		wait := ch.callBy.Sub(now)
+		if isKnown {
+			wait = min(wait, endsAt.Sub(now))
+		}
+		if wait <= 0 {
+			mo.logSuspension(ch, errWritesPending.Error(), now.Sub(began))
+			return errWritesPending
+		}
+		if err := su.awaitAnswer(ctx, wait); err != nil {
+			return err
+		}
+	}
+}
+
+// awaitQuorum waits until at least half of the members have answered, so that the others
+// cannot renew their permits. A coordinator that is cut off from most of them changes nothing,
+// nor does one that was until now: its listing is older than theirs.
+func (mo *monitor) awaitQuorum(ctx context.Context, ch *leaderChange) error {
+	su, until := ch.suspension, mo.me.deps.Now().Add(quorumTimeout)
+	for !su.ending.HasQuorum() {
+		wait := until.Sub(mo.me.deps.Now())
+		if wait <= 0 {
+			mo.logSuspension(ch, errNoQuorum.Error(), quorumTimeout)
+			return errNoQuorum
+		}
+		if err := su.awaitAnswer(ctx, wait); err != nil {
+			return err
+		}
+	}
+	if su.listing > mo.me.listing().ContentRevision {
+		if err := mo.me.refreshListing(ctx); err != nil {
+			event.Log(mo.me.log, event.PlatformDown, "what", "listing", "error", err.Error())
+		}
+		return errListingOld
+	}
+	return nil
+}
+
+// quorumTimeout bounds the wait for the answers of half of the members.
+const quorumTimeout = 2 * exchangeTimeout
+
+// awaitAnswer waits for one more answer, but no longer than the time given.
+func (su *suspension) awaitAnswer(ctx context.Context, wait time.Duration) error {
+	timer := time.NewTimer(wait)
+	defer timer.Stop()
+	select {
+	case an := <-su.answers:
+		su.ending.Add(an.name, an.reply.Answer, an.at)
+		su.listing = max(su.listing, an.reply.Listing)
+	case <-timer.C:
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+	return nil
+}
+
+// confirmsListing reports whether most members have answered and none has a newer listing.
+func (su *suspension) confirmsListing(revision uint64) bool {
+	return su.ending.HasMajority() && su.listing <= revision
+}
+
+func (mo *monitor) logSuspension(ch *leaderChange, why string, took time.Duration) {
+	event.Log(mo.me.log, event.ChangeStep, "group", mo.name, "step", "suspend", "why", why,
+		"answers", fmt.Sprintf("%d of %d members", ch.suspension.ending.Answered(), mo.me.roster.count()), "took", took.String())
+}
+
+// endSuspension ends the suspension of a change that has no effect any more.
+func (mo *monitor) endSuspension(ch *leaderChange) {
+	if ch.suspension != nil {
+		mo.liftSuspension(ch.suspension.Suspension)
+	}
+}
+
+// liftSuspension ends a suspension at all members. Those that are not reached now learn of
+// it by the exchanges.
+func (mo *monitor) liftSuspension(su quorum.Suspension) {
+	su = su.WithEnd()
+	mo.me.permits.suspend(su)
+	mo.sendSuspension(su, mo.me.deps.Now().Add(orderTimeout), make(chan memberAnswer, mo.me.roster.count()))
+}
--- a/io/member/leader_change.go
+++ b/io/member/leader_change.go
@@ -17,7 +17,7 @@
 var (
 	errNoToken       = errors.New("this member has no fencing token")
 	errLeaderAnswers = errors.New("the leader answers")
-	errListingOld    = errors.New("the listing may be old: neither the store nor most members confirm it")
+	errListingOld    = errors.New("the listing may be old: a member has a newer one, or neither the store nor most members confirm it")
 	errJoined        = errors.New("an upstream joined the group during the change")
 	errRestarted     = errors.New("an upstream has restarted during the change")
 	errOtherChange   = errors.New("the candidate of an unanswered appointment lacks writes that may have been acknowledged")
@@ -106,8 +106,9 @@
 	// leaderResult and results are the latest answers.
 	leaderResult orderResult
 	results      map[string]orderResult
-	// confirmation receives the result of confirmListing; nil if that was not started.
-	confirmation chan error
+	// suspension is that of the writes to a leader that may not have stopped; nil if none
+	// was begun.
+	suspension *suspension
 	// term is that of the leader.
 	term uint64
 	// isStopped is true once the leader, which led term, has confirmed that it leads no
@@ -139,6 +140,7 @@
 	}
 	ch := mo.newChange(reason, token)
 	if err := mo.survey(ch); err != nil {
+		mo.endSuspension(ch)
 		return "", err
 	}
 	candidate, err := mo.prepareChange(ctx, ch)
@@ -154,6 +156,10 @@
 		return candidate.ID, err
 	}
 	mo.forgetStopped()
+	if ch.isStopped || !mo.me.settings.LeasesRequired {
+		// The old leader leads no more.
+		mo.endSuspension(ch)
+	}
 	if mo.me.settings.LeasesRequired {
 		mo.publishLeader(ch, candidate.ID)
 	}
@@ -209,7 +215,7 @@
 			return candidate, mo.beforeCall(ch, candidate)
 		}
 	}
-	candidate, err := mo.chooseFrozen(ch)
+	candidate, err := mo.chooseFrozen(ctx, ch)
 	if err != nil {
 		return elect.Replica{}, err
 	}
@@ -218,8 +224,8 @@
 
 // chooseFrozen freezes all replicas and returns the best upstream that may be appointed. If
 // the freeze proves nothing, the log of a leader that has stopped still does.
-func (mo *monitor) chooseFrozen(ch *leaderChange) (elect.Replica, error) {
-	err := mo.freezeAll(ch)
+func (mo *monitor) chooseFrozen(ctx context.Context, ch *leaderChange) (elect.Replica, error) {
+	err := mo.freezeAll(ctx, ch)
 	if err != nil && ch.isStopped {
 		return mo.choose(ch, withoutFreezes(mo.state(ch)))
 	}
@@ -275,9 +281,10 @@
 
 // release ends a failed attempt. Frozen replicas stay frozen while a call that relies on
 // the freeze may be in flight or the leader is not known to lead; unfreezeAbandoned
-// unfreezes them later.
+// unfreezes them later, and ends the suspension of writes.
 func (mo *monitor) release(ch *leaderChange, err error) {
 	if len(ch.frozen) == 0 {
+		mo.endSuspension(ch)
 		return
 	}
 	if mo.me.settings.LeasesRequired {
--- a/io/member/member.go
+++ b/io/member/member.go
@@ -87,6 +87,7 @@
 	metrics  *metric.Metrics
 	monitors *monitors
 	vetting  *vetting
+	permits  *permits
 	orders   *orders
 	formers  *formers
 	pacer    *storePacer
@@ -124,13 +125,14 @@
 	me.monitors = newMonitors(me)
 	me.vetting = newVetting(me)
 	me.orders, me.formers = newOrders(me), newFormers()
+	me.permits = newPermits(me)
 	me.pacer = newStorePacer(me)
 	me.metrics = metric.New()
 	me.engine = engine.New(
 		engine.Settings{Site: se.Site, RegionOf: se.RegionOf, Pool: poolSettings, DrainBound: se.DrainBound, LeasesRequired: se.LeasesRequired},
 		engine.Dependencies{
 			Now:   de.Now,
-			Share: me.share, OnStatement: me.observe,
+			Share: me.share, OnStatement: me.observe, WriteObstacle: me.permits.obstacle,
 			IsReady: func() bool { return me.life.State() != life.Starting },
 			Pool: pool.Dependencies{
 				Now: de.Now, Dial: de.Dial, Codec: de.Codec, Relays: pool.NewRelays(de.Now, de.Dial),
@@ -258,6 +260,7 @@
 		me.engine.Sample(memberSampleAge)
 		now := me.deps.Now()
 		me.observeFormers(now)
+		me.permits.maintain(now)
 		if now.Before(maintainAt) {
 			continue
 		}
--- a/io/member/peer.go
+++ b/io/member/peer.go
@@ -19,6 +19,7 @@
 	"banyanspring/core/lease"
 	"banyanspring/core/life"
 	"banyanspring/core/posn"
+	"banyanspring/core/quorum"
 	"banyanspring/io/delay"
 	"banyanspring/io/stall"
 )
@@ -33,6 +34,8 @@
 	// leader has a problem: the link between regions has little capacity and is
 	// billed by volume.
 	crossRegionInterval = 450 * time.Millisecond
+	// renewalInterval is the same while the permit to pass on writes ends soon.
+	renewalInterval = 80 * time.Millisecond
 	// exchangeTimeout bounds one exchange. The slowest round trip between regions
 	// is some 20 ms, and an exhausted CPU quota pauses a process for 100 ms.
 	exchangeTimeout = 250 * time.Millisecond
@@ -82,6 +85,8 @@
 	Listing   uint64        `json:"listing"`
 	Members   uint64        `json:"members"`
 	Opinions  []wireOpinion `json:"opinions"`
+	// Vote is nil if the receiver is not known by its name.
+	Vote *quorum.Vote `json:"vote,omitempty"`
 	// IsTransfer is true if the reply may be large and take long.
 	IsTransfer bool `json:"transfer,omitempty"`
 }
@@ -118,6 +123,7 @@
 	Evidence []wireOpinion `json:"evidence"`
 	// Formers holds the upstreams that are no longer listed.
 	Formers []wireFormer `json:"formers,omitempty"`
+	Grant   quorum.Grant `json:"grant"`
 }
 
 // hasLargeLists reports whether the listing and the list of members have more than
@@ -186,7 +192,14 @@
 	return nil
 }
 
-func (qu *exchangeQuery) check() error { return checkOpinions(qu.Opinions) }
+func (qu *exchangeQuery) check() error {
+	if qu.Vote != nil {
+		if err := qu.Vote.Check(); err != nil {
+			return err
+		}
+	}
+	return checkOpinions(qu.Opinions)
+}
 
 func (re *exchangeReply) check() error {
 	if err := checkAges(re.CatalogMs, re.ListingMs, re.MembersMs); err != nil {
@@ -197,6 +210,9 @@
 			return err
 		}
 	}
+	if err := re.Grant.Check(); err != nil {
+		return err
+	}
 	return checkOpinions(re.Evidence)
 }
 
@@ -236,6 +252,7 @@
 	mux.HandleFunc("POST "+exchangePath, ps.handle)
 	mux.HandleFunc("GET "+catalogPath, ps.serveCatalog)
 	mux.HandleFunc("POST "+orderPath, ps.me.orders.serve)
+	mux.HandleFunc("POST "+suspendPath, ps.serveSuspension)
 	ps.me.serveMetrics(mux)
 	ln, err := net.Listen("tcp", ps.me.settings.PeerAddress)
 	if err != nil {
@@ -262,7 +279,11 @@
 		qu.Opinions[pos].SampleMs = 0
 		ps.me.opinions.add(qu.Opinions[pos], now)
 	}
+	if qu.Vote != nil {
+		ps.me.permits.receive(qu.From, *qu.Vote)
+	}
 	re := ps.me.makeReply(qu, now)
+	re.Grant = ps.me.permits.grant(qu.From)
 	if !qu.IsTransfer && re.hasLargeLists() {
 		re = re.WithoutLists()
 	}
@@ -323,6 +344,8 @@
 			// other.
 			ps.tryPredecessors(ctx)
 			pause = 0
+		case ps.me.permits.needsRenewal(ps.me.deps.Now()):
+			pause = renewalInterval
 		case source.Region != ps.me.settings.Site.Region && !ps.me.hasLeaderProblem():
 			pause = crossRegionInterval
 		}
@@ -373,6 +396,9 @@
 	me := ps.me
 	asked := me.deps.Now()
 	qu := me.makeQuery(asked)
+	if source.Name != "" {
+		qu.Vote = me.permits.vote(source.Name)
+	}
 	var re exchangeReply
 	err := ps.post(ctx, "http://"+source.Address+exchangePath, qu, &re)
 	if parent.Err() != nil {
@@ -383,6 +409,9 @@
 	if err != nil {
 		return false
 	}
+	if source.Name != "" {
+		me.permits.accept(source.Name, re.Grant, asked)
+	}
 	if re.Leaving {
 		me.roster.markLeaving(source.Name)
 		return true
--- a/io/member/roster.go
+++ b/io/member/roster.go
@@ -611,6 +611,30 @@
 	return len(ro.members)
 }
 
+// names returns the names of the known members.
+func (ro *roster) names() []string {
+	ro.mu.Lock()
+	defer ro.mu.Unlock()
+	out := make([]string, 0, len(ro.members))
+	for name := range ro.members {
+		out = append(out, name)
+	}
+	return out
+}
+
+// others returns all known members but this one, those included that are not reached.
+func (ro *roster) others() []entry {
+	ro.mu.Lock()
+	defer ro.mu.Unlock()
+	out := make([]entry, 0, len(ro.members))
+	for name, kn := range ro.members {
+		if name != ro.self.Name {
+			out = append(out, kn.entry)
+		}
+	}
+	return out
+}
+
 // relays returns members that may reach an upstream of the failure domain: its own first,
 // then the others. In a large fleet these are some of each domain.
 func (ro *roster) relays(domain string) []entry {
