Unfreeze replicas that a change left frozen although another leader leads

Callers saw: writes of a group wait until its next promotion. The coordinator found the leader "stalled", and no replica that stays had everything, since all were frozen. Each of its surveys put off the end of the freeze by 13 s, so that it never came.

Change: a change that fails because another upstream leads unfreezes at once what it froze, unless a replica was frozen by somebody else before; the upstream that was taken for the leader counts among the frozen. What another coordinator left frozen is unfrozen once a call that relies on it cannot be carried out any more, counted from the first time that it was seen.

--- a/io/member/appointments.go
+++ b/io/member/appointments.go
@@ -220,5 +220,5 @@
 	defer mo.mu.Unlock()
 	// beginFrozenCheck has set isChanging, so that no change of leader runs during the
 	// check.
-	mo.isChanging = false
+	mo.isChanging, mo.foreignUntil = false, time.Time{}
 }
--- a/io/member/change_freeze.go
+++ b/io/member/change_freeze.go
@@ -86,6 +86,8 @@
 	if ch.leaderResult.err != nil || re.ClaimsLead || ch.isStopped {
 		return
 	}
+	ch.frozen = append(slices.Clone(ch.frozen), ch.leader)
+	mo.recordFreeze(ch.frozen[len(ch.frozen)-1:])
 	ch.leaderResult = mo.askLeader(ch, orderTryTimeout, order{Kind: orderFreeze, Term: ch.term + 1})
 	mo.logStep("freeze", "the former leader receives the log", map[string]orderResult{ch.leader.ID: ch.leaderResult})
 }
--- a/io/member/change_survey.go
+++ b/io/member/change_survey.go
@@ -46,19 +46,29 @@
 	if mo.me.settings.LeasesRequired {
 		return mo.checkLeasedChange(ch)
 	}
-	if mo.hasForeignFreeze(ch.results, time.Time{}) {
-		mo.deferUnfreeze()
+	ch.hasForeignFreeze = mo.hasForeignFreeze(ch.results, time.Time{})
+	mo.recordForeignFreeze(ch)
+	if ch.hasForeignFreeze {
 		ch.adopted = ch.onlyReplica(func(re pool.Report) bool { return re.FrozenTerm > 0 })
 	}
 	return nil
 }
 
-// deferUnfreeze puts off the next check for frozen replicas: a call of another coordinator
-// that relies on them may be in flight.
-func (mo *monitor) deferUnfreeze() {
+// recordForeignFreeze records whether another coordinator has frozen a replica. A call that
+// relies on it may be in flight; once it cannot be any more, the replica is unfrozen.
+func (mo *monitor) recordForeignFreeze(ch *leaderChange) {
+	now := mo.me.deps.Now()
+	hasFailed := func(up group.Upstream) bool { return ch.results[up.ID].err != nil }
 	mo.mu.Lock()
 	defer mo.mu.Unlock()
-	mo.foreignUntil = mo.me.deps.Now().Add(maxOrderDelay)
+	switch {
+	case !ch.hasForeignFreeze && slices.ContainsFunc(ch.replicas, hasFailed):
+	case !ch.hasForeignFreeze:
+		mo.foreignUntil = time.Time{}
+	case mo.foreignUntil.IsZero():
+		mo.foreignUntil = now.Add(takeoverTimeout + maxOrderDelay)
+		mo.frozenCheckAt = mo.foreignUntil
+	}
 }
 
 // onlyReplica returns the ID of the replica whose report fulfils the condition, if it is
--- a/io/member/leader_change.go
+++ b/io/member/leader_change.go
@@ -118,6 +118,8 @@
 	// that reported that they are.
 	frozen    []group.Upstream
 	confirmed map[string]bool
+	// hasForeignFreeze is true if a replica was frozen before, not by this member.
+	hasForeignFreeze bool
 	// adopted is the candidate of another coordinator's change that is not finished; empty
 	// if there is none. The call of that change may still be carried out.
 	adopted string
@@ -293,11 +295,23 @@
 		}
 		return
 	}
+	if isOtherLeading(err) && !ch.hasForeignFreeze {
+		// This member may be no coordinator any more when the check is due.
+		mo.unfreezeUnlessPending(ch.frozen)
+		mo.endSuspension(ch)
+		return
+	}
 	mo.mu.Lock()
 	defer mo.mu.Unlock()
 	mo.frozenCheckAt = mo.me.deps.Now().Add(frozenCheckRetry)
 }
 
+// isOtherLeading reports whether a change failed since another upstream leads already.
+func isOtherLeading(err error) bool {
+	var oe obstacleError
+	return errors.As(err, &oe) && (oe.obstacle == elect.OtherLeads || oe.obstacle == elect.TermChanged)
+}
+
 // appoint has the platform make the candidate the leader, and waits until it leads. A
 // deferred call is sent again. An unanswered one ends the attempt: it may still be carried
 // out, and is repeated by the next attempt with the same token, after a new proof.
--- a/io/member/monitor.go
+++ b/io/member/monitor.go
@@ -151,7 +151,7 @@
 	// stopped is the leader that was stopped for a change that is not finished.
 	stopped stoppedLeader
 	// foreignUntil is until when a call of another coordinator may be carried out that relies
-	// on replicas which were seen frozen.
+	// on replicas which were seen frozen; zero if the last complete survey saw none.
 	foreignUntil time.Time
 	// formersCheckedAt is when the former upstreams were last checked.
 	formersCheckedAt time.Time
@@ -252,7 +252,7 @@
 	if mo.isChanging || mo.leader == "" || mo.appointments.pendingCandidate != "" || mo.frozenCheckAt.IsZero() || now.Before(mo.frozenCheckAt) {
 		return
 	}
-	if now.Before(mo.foreignUntil) || now.Before(mo.appointments.lateCallUntil) {
+	if now.Before(mo.foreignUntil) || now.Before(mo.appointments.lateCallUntil) || mo.hasForeignSuspension(now) {
 		return
 	}
 	if now.Sub(mo.heardAt) > frozenCheckSilence && !mo.me.settings.LeasesRequired {
@@ -264,6 +264,14 @@
 	go mo.unfreezeAbandoned(ups, mo.leader)
 }
 
+// hasForeignSuspension reports whether another coordinator's change that relies on frozen
+// replicas may be under way.
+func (mo *monitor) hasForeignSuspension(now time.Time) bool {
+	su, ok := mo.me.permits.inForce(mo.name)
+	token, _ := mo.me.roster.Token()
+	return ok && su.Token != token && now.Before(su.ExpiresAt)
+}
+
 // forgetFreezes forgets the orders to freeze upstreams that are no longer listed; mu is
 // held.
 func (mo *monitor) forgetFreezes(ups []group.Upstream) {
