Model an upstream that joins beside a leader that is cut off

Cause: the model assumed the fault away. While a change relied on pauses, an upstream that joined or restarted was frozen before the leader acknowledged anything through it.

Change: that assumption is gone. There are two instances: one that ends its writes with the suspension, and one whose permit ends at any time and is not renewed while writes are suspended. What is acknowledged is what a caller was told.

--- a/spec/check.sh
+++ b/spec/check.sh
@@ -62,10 +62,14 @@
   fails "$rule" "" "-D$rule" -DLEAVE
 done
 fails NO_RELIST "" -DNO_RELIST -DJOIN
-fails NO_RESUME_WAIT "" -DNO_RESUME_WAIT -DSECOND_RESUME
-fails LATE_FREEZE_JOIN "" -DLATE_FREEZE -DJOIN
-fails LATE_FREEZE_RESTART "" -DLATE_FREEZE -DRESTART
-for rule in NO_CONFIRM NO_FOREIGN NO_MARK NO_MARK_CHECK NO_FOREIGN_RESUME; do
+# without the suspension of writes, frozen replicas alone must do
+fails NO_RESUME_WAIT "" -DNO_RESUME_WAIT -DSECOND_RESUME -DNO_SUSPEND
+fails NO_FOREIGN_RESUME "" -DHOLDERS=2 -DNO_FOREIGN_RESUME -DNO_SUSPEND
+for rule in NO_SUSPEND NO_PERMIT_WAIT; do
+  fails "${rule}_JOIN" "" "-D$rule" -DJOIN
+  fails "${rule}_RESTART" "" "-D$rule" -DRESTART
+done
+for rule in NO_CONFIRM NO_FOREIGN NO_MARK NO_MARK_CHECK; do
   fails "$rule" "" -DHOLDERS=2 "-D$rule"
 done
 
--- a/spec/handover.pml
+++ b/spec/handover.pml
@@ -3,9 +3,10 @@
  * call that appoints a leader may be executed long after its coordinator has given up on
  * it. There are one group of three upstreams, a fourth one that may join, and one or two
  * coordinators (the type Holder: holders of the duty; HOLDERS). Every step may be late or
- * never happen.
+ * never happen. Callers write through two instances: one beside the coordinator, and one
+ * that may be cut off with the leader.
  *
- * Assertion: an appointed leader has received everything that was acknowledged.
+ * Assertion: an appointed leader has received everything that was acknowledged to a caller.
  *
  * A log is modelled by its length, because only the single leader appends entries and
  * a replica that follows a new leader truncates its log to the leader's.
@@ -22,13 +23,12 @@
  * only together with an event or a second coordinator (check.sh).
  *
  * Assumptions, each with a macro that drops it and an error to show for it:
- *   LATE_FREEZE    While a change relies on pauses alone, an upstream that joins or
- *                  restarts is frozen before the leader, which nobody who is asked can
- *                  reach, acknowledges anything through it.
  *   REBORN_TARGET  An upstream does not restart with an empty log while a call for it is
  *                  in flight.
  *   OLD_RETURNS    A leader that has stepped down does not lead again unless appointed.
- * Also assumed: a joining upstream is listed before it receives, a coordinator knows each
+ * Also assumed: the permit of the instance that is cut off ends, and is not renewed while
+ * writes are suspended (core/quorum, which has a random test of this), a joining upstream is
+ * listed in the store before it receives, a coordinator knows each
  * upstream that was ever listed in the term, freezes of different coordinators can be
  * told apart, a freeze tells what it replaces, and no call or command is executed after
  * the longest delay, so that waiting for that time ends all of them (IS_SETTLED).
@@ -59,12 +59,13 @@
 bool lost[UPSTREAMS];            /* it has ended in this term, and its log is gone */
 byte bound[UPSTREAMS] = {NONE, NONE, NONE, NONE}; /* position of the leader sampled after that end */
 byte base = 0;                   /* position with which the leader began its term */
-byte acked = 0;                  /* acknowledged entries */
+byte acked = 0;                  /* entries acknowledged to callers */
+bool suspended[3];               /* the coordinator has suspended the writes to the leader */
+bool permit = true;              /* the instance that is cut off may pass on writes */
 byte fence = 0;                  /* highest token that the platform has seen */
 byte drawn = 0;                  /* highest token drawn */
 bool lateResume[UPSTREAMS];      /* a resume command is in flight */
 bool restarted, unlisted, departed;  /* the event has happened; each happens once */
-byte relied = 0;                 /* who relies on pauses that have been read back */
 byte calling[3];                 /* the coordinator makes its last checks: candidate + 1 */
 
 /* calls in flight; token 0 marks a free slot */
@@ -89,7 +90,7 @@
 			assert(rcv[callTarget[c]] >= acked);
 			leader = callTarget[c];
 			term++;
-			stopped = false; relied = 0; base = rcv[leader];
+			stopped = false; suspended[1] = false; suspended[2] = false; base = rcv[leader];
 			BEGIN_TERM(0); BEGIN_TERM(1); BEGIN_TERM(2); BEGIN_TERM(3)
 		fi
 	fi;
@@ -99,22 +100,20 @@
 /* what is in transit when the leader steps down may still arrive */
 #define RECEIVE(i) \
 	:: atomic { live[i] && i != leader && !frozen[i] && rcv[i] < rcv[leader] -> rcv[i]++ }
+#define IS_SUSPENDED (suspended[1] || suspended[2])
 #define ACKNOWLEDGE(i) \
-	:: atomic { !stopped && live[i] && i != leader && rcv[i] > acked -> acked = rcv[i] }
+	:: atomic { !stopped && (permit || !IS_SUSPENDED) && live[i] && i != leader && rcv[i] > acked -> acked = rcv[i] }
 
 active proctype Upstreams() {
 	do
 	:: atomic { !stopped && rcv[leader] < MAXLEN -> rcv[leader]++ }
 	RECEIVE(0) RECEIVE(1) RECEIVE(2) RECEIVE(3)
 	ACKNOWLEDGE(0) ACKNOWLEDGE(1) ACKNOWLEDGE(2) ACKNOWLEDGE(3)
+	:: atomic { permit -> permit = false }
+	:: atomic { !permit && !IS_SUSPENDED -> permit = true }
 	od
 }
 
-#ifdef LATE_FREEZE
-#define START_FROZEN(i) frozen[i] = false
-#else
-#define START_FROZEN(i) if :: relied > 0 -> frozen[i] = true; mark[i] = relied :: else -> frozen[i] = false fi
-#endif
 #define IS_TARGET_OF_CALL(i) ((callTarget[0] == i && callToken[0] > 0) || (callTarget[1] == i && callToken[1] > 0) || \
 	calling[1] == i + 1 || calling[2] == i + 1)
 #ifdef REBORN_TARGET
@@ -130,7 +129,7 @@
 	:: atomic { lateResume[i] -> lateResume[i] = false; frozen[i] = false; mark[i] = 0 }
 /* a restart ends a pause, but not the mark: a recent restart counts as one */
 #define RESTARTS(i) \
-	:: atomic { !restarted && i != leader && frozen[i] -> restarted = true; START_FROZEN(i) }
+	:: atomic { !restarted && i != leader && frozen[i] -> restarted = true; frozen[i] = false }
 #define LOSES_ENTRY(i) \
 	:: atomic { !unlisted && i != leader && listed[i] -> unlisted = true; listed[i] = false } \
 	:: atomic { live[i] && !listed[i] -> listed[i] = true }
@@ -138,7 +137,7 @@
 #define LEAVES(i) \
 	:: atomic { !departed && i != leader && live[i] -> departed = true; live[i] = false; \
 		listed[i] = false; frozen[i] = false; rcv[i] = 0; lost[i] = true; bound[i] = NONE } \
-	:: atomic { departed && !live[i] && !IS_TARGET(i) -> live[i] = true; listed[i] = true; START_FROZEN(i) } \
+	:: atomic { departed && !live[i] && !IS_TARGET(i) -> live[i] = true; listed[i] = true; frozen[i] = false } \
 	:: atomic { lost[i] && bound[i] == NONE -> bound[i] = rcv[leader] }
 
 active proctype Platform() {
@@ -148,7 +147,7 @@
 	EXECUTE_RESUME(0) EXECUTE_RESUME(1) EXECUTE_RESUME(2) EXECUTE_RESUME(3)
 #endif
 #ifdef JOIN
-	:: atomic { !live[3] -> live[3] = true; listed[3] = true; START_FROZEN(3) }
+	:: atomic { !live[3] -> live[3] = true; listed[3] = true }
 #endif
 #ifdef RESTART
 	RESTARTS(0) RESTARTS(1) RESTARTS(2)
@@ -377,16 +376,23 @@
 	/* the leader is not reached: freeze all others */
 #ifndef NO_RESUME_WAIT
 	NO_RESUME;
+#endif
+#ifndef NO_SUSPEND
+	atomic { SAME_TERM; suspended[me] = true };
 #endif
 	need = BASE;
 	FREEZE(0); FREEZE(1); FREEZE(2); FREEZE(3);
 	AWAIT_SETTLED;
+#if !defined(NO_SUSPEND) && !defined(NO_PERMIT_WAIT)
+	/* nobody passes on writes any more; the listing is read after that */
+	term != held || !permit;
+#endif
 	atomic {
 		SAME_TERM;
 #ifndef NO_RELIST
 		if :: IS_NEW(0) || IS_NEW(1) || IS_NEW(2) || IS_NEW(3) -> goto giveUp :: else fi;
 #endif
-		relied = me; calling[me] = NONE
+		calling[me] = NONE
 	};
 #ifndef NO_READBACK
 	READ_BACK(0); READ_BACK(1); READ_BACK(2); READ_BACK(3);
@@ -425,12 +431,13 @@
 	od;
 
 giveUp:
-	/* the old leader is seen to lead: unfreeze, unless a call may rely on it */
+	/* the old leader is seen to lead: unfreeze and end the suspension, unless a call may
+	 * rely on them */
 	atomic {
 		calling[me] = 0;
-		if :: relied == me -> relied = 0 :: else fi;
 		if
-		:: !stopped && term == held && MAY_RESUME -> RESUME(0); RESUME(1); RESUME(2); RESUME(3)
+		:: !stopped && term == held && MAY_RESUME -> RESUME(0); RESUME(1); RESUME(2); RESUME(3); suspended[me] = false
+		:: term != held -> suspended[me] = false
 		:: skip
 		fi
 	};
