Find a coordinator and permits at once after a restart of all

Callers saw: after a restart of all instances their writes were refused for up to 3 s, after the permits of the start had ended.

Cause: each member reads the list of members before the others have written their objects anew, and ranks itself behind them. For 5 s, until that list no longer counted as fresh, nobody was the coordinator, and members exchanged within their failure domain only, so that most of them were in contact with nobody's side.

Change: a list that is older than the member's own object is read again, 0.3 s after that was written by the former first of a failure domain, 1.5 s by others, unless a newer one has arrived. While a permit ends soon or was never had, a member also exchanges with one drawn at random.

TestListOfMembersThatIsOlderThanTheOwnObjectIsReadAgain has no counterpart before.

--- a/io/member/peer.go
+++ b/io/member/peer.go
@@ -333,6 +333,10 @@
 		if en, ok := ps.me.roster.nextUnreached(ps.me.deps.Now()); ok {
 			go ps.exchange(ctx, en)
 		}
+		if en, ok := ps.me.roster.anyOther(); ok && ps.me.permits.needsRenewal(ps.me.deps.Now()) {
+			// The usual paths may not lead to most members, for example after a restart of all.
+			go ps.exchange(ctx, en)
+		}
 		source, ok := ps.me.roster.source()
 		switch {
 		case !ok:
--- a/io/member/permits.go
+++ b/io/member/permits.go
@@ -62,15 +62,19 @@
 
 func (pe *permits) expiresAt() time.Time { return pe.confirmedAt.load().Add(quorum.Duration) }
 
-// needsRenewal reports whether the permit ends soon, or has just ended.
+// needsRenewal reports whether the permit ends soon, or has just ended or never begun.
 func (pe *permits) needsRenewal(now time.Time) bool {
-	age := now.Sub(pe.confirmedAt.load())
+	since := pe.confirmedAt.load()
+	if since.IsZero() {
+		since = pe.me.startedAt.Add(-quorum.RenewAge)
+	}
+	age := now.Sub(since)
 	return age > quorum.RenewAge && age < renewalLimit
 }
 
 // renewalLimit is the age of the permit's evidence from which it is renewed no faster than
 // other state: the instance is cut off.
-const renewalLimit = 3 * time.Second
+const renewalLimit = 5 * time.Second
 
 // refresh updates the copies from the track.
 func (pe *permits) refresh(now time.Time) {
--- /dev/null
+++ b/io/member/permits_test.go
@@ -0,0 +1,89 @@
+package member
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"banyanspring/core/quorum"
+)
+
+// join has the member write its object, which gets the revision given.
+func (tm *testMember) join(t *testing.T, revision uint64) {
+	t.Helper()
+	tm.deps.Store.Update = func(_ context.Context, _, name string, _ uint64, value any) (Object, error) {
+		raw, err := json.Marshal(value)
+		return Object{Name: name, Revision: revision, Value: raw}, err
+	}
+	tm.roster.revision = 1
+	require.NoError(t, tm.roster.writeOwnObject(context.Background()))
+}
+
+// A fleet without a coordinator for seconds after a restart of all: each member ranks the
+// others by their objects of before.
+func TestListOfMembersThatIsOlderThanTheOwnObjectIsReadAgain(t *testing.T) {
+	object := func(name string, revision uint64) Object {
+		return Object{Name: name, Revision: revision, Value: fmt.Appendf(nil, `{"name":%q,"domain":"here"}`, name)}
+	}
+	for wait, objs := range map[time.Duration][]Object{
+		firstOutdatedAfter: {object("self", 1), object("other", 2)},
+		outdatedAfter:      {object("other", 1), object("self", 2)},
+	} {
+		tm := newTestMember()
+		tm.roster.replace(objs, 10)
+		tm.join(t, 20)
+		tm.now = tm.now.Add(wait)
+		require.False(t, tm.roster.isOutdated(tm.now))
+		tm.now = tm.now.Add(time.Millisecond)
+		require.True(t, tm.roster.isOutdated(tm.now))
+		tm.roster.replace(objs, 21)
+		require.False(t, tm.roster.isOutdated(tm.now))
+	}
+}
+
+// Callers of a member that has just started: it waits for a permit, and does not refuse their
+// writes as one does that is cut off.
+func TestWritesOfAStartingMemberAreNotRefusedAtOnce(t *testing.T) {
+	tm := newTestMember()
+	tm.list("here", "other")
+	ob := tm.permits.obstacle("g", "p")
+	require.NotEmpty(t, ob.Reason)
+	require.False(t, ob.IsFinal)
+	tm.now = tm.now.Add(time.Minute)
+	require.True(t, tm.permits.obstacle("g", "p").IsFinal)
+}
+
+func TestWritesAreRefusedOnceThePermitHasBeenLostForAWhile(t *testing.T) {
+	tm := newTestMember()
+	tm.list("here", "other")
+	tm.now = tm.now.Add(time.Minute)
+	tm.permits.accept("other", quorum.Grant{ConfirmedMs: 1}, tm.now)
+	require.Empty(t, tm.permits.obstacle("g", "p").Reason)
+	tm.now = tm.now.Add(quorum.Duration)
+	ob := tm.permits.obstacle("g", "p")
+	require.NotEmpty(t, ob.Reason)
+	require.False(t, ob.IsFinal, "the coordinator may have changed")
+	tm.now = tm.now.Add(lapseTolerance)
+	require.True(t, tm.permits.obstacle("g", "p").IsFinal)
+}
+
+// A write to a leader that is being replaced waits for the next one.
+func TestWritesToASuspendedLeaderAreNotPassedOn(t *testing.T) {
+	tm := newTestMember()
+	tm.list("here")
+	require.Empty(t, tm.permits.obstacle("g", "p").Reason)
+	su := tm.permits.begin("g", "p", 7)
+	tm.permits.suspend(su)
+	require.NotEmpty(t, tm.permits.obstacle("g", "p").Reason)
+	require.False(t, tm.permits.obstacle("g", "p").IsFinal)
+	require.Empty(t, tm.permits.obstacle("g", "q").Reason)
+	require.Empty(t, tm.permits.obstacle("h", "p").Reason)
+	tm.now = tm.now.Add(suspensionLimit)
+	require.Empty(t, tm.permits.obstacle("g", "p").Reason)
+	tm.permits.suspend(tm.permits.begin("g", "", 7))
+	require.NotEmpty(t, tm.permits.obstacle("g", "q").Reason, "the leader is not known to the coordinator")
+}
--- a/io/member/roster.go
+++ b/io/member/roster.go
@@ -4,6 +4,7 @@
 	"cmp"
 	"context"
 	"encoding/json"
+	"math/rand/v2"
 	"net/netip"
 	"slices"
 	"sync"
@@ -99,6 +100,9 @@
 	// lastToken is the token to use while a newer one is requested; zero if none may be
 	// used until then.
 	lastToken uint64
+	// wasDomainFirst is true if this member was the first of its failure domain when it last
+	// wrote its object, by the object that it replaced.
+	wasDomainFirst bool
 	// isLeaving is true once this member's object is to be removed from the store.
 	isLeaving bool
 	// domainFirstSince is when this member became the first of its failure domain;
@@ -134,6 +138,7 @@
 	sw := &storeWatcher{
 		me: ro.me, what: "members", confirmedAt: &ro.confirmedAt, since: &revision{}, read: ro.read, await: ro.await,
 		pause: membersPause, freshFor: membersFreshFor, firstFreshFor: membersFreshFor, isReadFirst: true,
+		isOutdated: ro.isOutdated,
 	}
 	sw.run(ctx)
 }
@@ -209,6 +214,7 @@
 	case err != nil:
 		return err
 	}
+	ro.wasDomainFirst = ro.isFirstOfDomain(ro.ranked())
 	ro.isWritten, ro.hasJoined = true, true
 	ro.revision, ro.drawnAt, ro.lastToken = obj.Revision, began, 0
 	ro.put(obj)
@@ -635,6 +641,37 @@
 	return out
 }
 
+// anyOther returns another member drawn at random, and false if there is none.
+func (ro *roster) anyOther() (entry, bool) {
+	others := ro.others()
+	if len(others) == 0 {
+		return entry{}, false
+	}
+	return others[rand.IntN(len(others))], true
+}
+
+// isOutdated reports whether the list of members is older than this member's own object, and
+// nobody has passed on a newer one for a while. After a restart of all members, each ranks the
+// others by their objects of before, and so itself behind them: nobody is the coordinator.
+func (ro *roster) isOutdated(now time.Time) bool {
+	ro.mu.Lock()
+	defer ro.mu.Unlock()
+	wait := outdatedAfter
+	if ro.wasDomainFirst {
+		wait = firstOutdatedAfter
+	}
+	return ro.isWritten && ro.listRevision < ro.revision && now.Sub(ro.drawnAt) > wait
+}
+
+const (
+	// outdatedAfter is how long after a member has written its object its list of members
+	// must hold it: the coordinator's watch and two exchanges fit into it.
+	outdatedAfter = 1500 * time.Millisecond
+	// firstOutdatedAfter is the same for the member that was the first of its failure domain
+	// before it restarted, from which the others of the domain receive the list.
+	firstOutdatedAfter = 300 * time.Millisecond
+)
+
 // relays returns members that may reach an upstream of the failure domain: its own first,
 // then the others. In a large fleet these are some of each domain.
 func (ro *roster) relays(domain string) []entry {
--- a/io/member/watch.go
+++ b/io/member/watch.go
@@ -42,6 +42,9 @@
 	freshFor, firstFreshFor time.Duration
 	// isExpected reports whether the data is about to arrive from the source; may be nil.
 	isExpected func(now time.Time) bool
+	// isOutdated reports whether the state must be read although it was confirmed lately; may
+	// be nil.
+	isOutdated func(now time.Time) bool
 	// isReadFirst is true for the data from which sources follow, which a starting member
 	// reads at once.
 	isReadFirst bool
@@ -138,6 +141,9 @@
 	if at.IsZero() {
 		return sw.isStartupWait(now)
 	}
+	if sw.isOutdated != nil && sw.isOutdated(now) {
+		return false
+	}
 	limit := sw.freshFor
 	if sw.me.roster.isDomainFirst() {
 		limit = sw.firstFreshFor
