Renew permits by small messages of their own

Cause: permits were renewed by whole exchanges, up to 12 a second and to random members. With the lists in them they filled the links and processors, timed out, and so ended more permits. Votes that a member passed on carried one age for all of them, that of the oldest.

Change: a message that holds only the vote and the grant, every 150 ms by the first of each failure domain and by members whose permit ends soon; one member drawn at random every 300 ms only once a permit is almost lost, and every second after 4 s. Votes carry an age each.

--- a/core/quorum/quorum.go
+++ b/core/quorum/quorum.go
@@ -35,8 +35,10 @@
 	// partition is noticed, and longer than two exchanges take, one of them possibly
 	// between regions.
 	Duration = 1200 * time.Millisecond
-	// RenewAge is the age of a permit's evidence from which a member exchanges more often.
-	RenewAge = Duration / 2
+	// RenewAge is the age of a permit's evidence from which a member asks its source more
+	// often, and SpreadAge that from which it asks others too.
+	RenewAge  = 700 * time.Millisecond
+	SpreadAge = 950 * time.Millisecond
 	// margin is added to the wait for the permits of other instances, for the rounding of
 	// ages and clocks that run at different speeds.
 	margin = 50 * time.Millisecond
@@ -73,9 +75,8 @@
 	// They give the receiver a lower bound of the time at which the query was sent.
 	Echo   Stamp `json:"echo"`
 	EchoMs int64 `json:"echo_ms"`
-	// Heard holds the other members that the sender itself has heard from within HeardMs.
-	Heard       []string         `json:"heard,omitempty"`
-	HeardMs     int64            `json:"heard_ms,omitempty"`
+	// Heard holds how long ago the sender itself heard from other members, in milliseconds.
+	Heard       map[string]int64 `json:"heard,omitempty"`
 	Suspensions []WireSuspension `json:"suspensions,omitempty"`
 }
 
@@ -90,7 +91,10 @@
 
 // Check returns an error if the vote must not be used.
 func (vo Vote) Check() error {
-	if err := checkMs(vo.Echo.Ms, vo.EchoMs, vo.HeardMs); err != nil {
+	if err := checkMs(vo.Echo.Ms, vo.EchoMs); err != nil {
+		return err
+	}
+	if err := checkMs(slices.Collect(maps.Values(vo.Heard))...); err != nil {
 		return err
 	}
 	return checkSuspensions(vo.Suspensions)
@@ -176,11 +180,12 @@
 	}
 	for name, he := range tr.votes {
 		if age := now.Sub(he.directAt); age <= maxVoteAge && name != to {
-			vo.Heard = append(vo.Heard, name)
-			vo.HeardMs = max(vo.HeardMs, ceilMs(age))
+			if vo.Heard == nil {
+				vo.Heard = make(map[string]int64)
+			}
+			vo.Heard[name] = ceilMs(age)
 		}
 	}
-	slices.Sort(vo.Heard)
 	return vo
 }
 
@@ -193,10 +198,10 @@
 	sentAt := earlier(tr.startedAt.Add(millis(vo.Echo.Ms+vo.EchoMs)), now)
 	he := tr.votes[from]
 	tr.votes[from] = heard{at: later(he.at, sentAt), directAt: later(he.directAt, sentAt)}
-	for _, name := range vo.Heard {
+	for name, ms := range vo.Heard {
 		if name != tr.self {
 			he := tr.votes[name]
-			he.at = later(he.at, sentAt.Add(-millis(vo.HeardMs)))
+			he.at = later(he.at, sentAt.Add(-millis(ms)))
 			tr.votes[name] = he
 		}
 	}
--- a/core/quorum/quorum_test.go
+++ b/core/quorum/quorum_test.go
@@ -219,7 +219,7 @@
 
 func TestMessagesWithTimesOutOfRangeAreRefused(t *testing.T) {
 	require.NoError(t, Vote{}.Check())
-	require.Error(t, Vote{HeardMs: -1}.Check())
+	require.Error(t, Vote{Heard: map[string]int64{"a": -1}}.Check())
 	require.Error(t, Vote{Echo: Stamp{Ms: maxMs + 1}}.Check())
 	require.Error(t, Vote{Suspensions: []WireSuspension{{Group: "g", LeftMs: -1}}}.Check())
 	require.Error(t, Grant{ConfirmedMs: -1}.Check())
--- a/io/member/peer.go
+++ b/io/member/peer.go
@@ -34,8 +34,6 @@
 	// leader has a problem: the link between regions has little capacity and is
 	// billed by volume.
 	crossRegionInterval = 450 * time.Millisecond
-	// renewalInterval is the same while the permit to pass on writes ends soon.
-	renewalInterval = 80 * time.Millisecond
 	// exchangeTimeout bounds one exchange. The slowest round trip between regions
 	// is some 20 ms, and an exhausted CPU quota pauses a process for 100 ms.
 	exchangeTimeout = 250 * time.Millisecond
@@ -252,6 +250,7 @@
 	mux.HandleFunc("POST "+exchangePath, ps.handle)
 	mux.HandleFunc("GET "+catalogPath, ps.serveCatalog)
 	mux.HandleFunc("POST "+orderPath, ps.me.orders.serve)
+	mux.HandleFunc("POST "+permitPath, ps.me.permits.serve)
 	mux.HandleFunc("POST "+suspendPath, ps.serveSuspension)
 	ps.me.serveMetrics(mux)
 	ln, err := net.Listen("tcp", ps.me.settings.PeerAddress)
@@ -333,10 +332,6 @@
 		if en, ok := ps.me.roster.nextUnreached(ps.me.deps.Now()); ok {
 			go ps.exchange(ctx, en)
 		}
-		if en, ok := ps.me.roster.anyOther(); ok && ps.me.permits.needsRenewal(ps.me.deps.Now()) {
-			// The usual paths may not lead to most members, for example after a restart of all.
-			go ps.exchange(ctx, en)
-		}
 		source, ok := ps.me.roster.source()
 		switch {
 		case !ok:
@@ -348,8 +343,6 @@
 			// other.
 			ps.tryPredecessors(ctx)
 			pause = 0
-		case ps.me.permits.needsRenewal(ps.me.deps.Now()):
-			pause = renewalInterval
 		case source.Region != ps.me.settings.Site.Region && !ps.me.hasLeaderProblem():
 			pause = crossRegionInterval
 		}
--- a/io/member/permits.go
+++ b/io/member/permits.go
@@ -1,14 +1,18 @@
 package member
 
 import (
+	"context"
+	"encoding/json"
 	"fmt"
 	"math/rand/v2"
+	"net/http"
 	"sync"
 	"sync/atomic"
 	"time"
 
 	"banyanspring/core/event"
 	"banyanspring/core/quorum"
+	"banyanspring/io/delay"
 	"banyanspring/io/engine"
 )
 
@@ -62,20 +66,6 @@
 
 func (pe *permits) expiresAt() time.Time { return pe.confirmedAt.load().Add(quorum.Duration) }
 
-// needsRenewal reports whether the permit ends soon, or has just ended or never begun.
-func (pe *permits) needsRenewal(now time.Time) bool {
-	since := pe.confirmedAt.load()
-	if since.IsZero() {
-		since = pe.me.startedAt.Add(-quorum.RenewAge)
-	}
-	age := now.Sub(since)
-	return age > quorum.RenewAge && age < renewalLimit
-}
-
-// renewalLimit is the age of the permit's evidence from which it is renewed no faster than
-// other state: the instance is cut off.
-const renewalLimit = 5 * time.Second
-
 // refresh updates the copies from the track.
 func (pe *permits) refresh(now time.Time) {
 	members := pe.me.roster.names()
@@ -177,3 +167,83 @@
 	su, ok := (*pe.suspended.Load())[name]
 	return su, ok
 }
+
+// permitPath is where members renew their permits between exchanges.
+const permitPath = "/v1/permit"
+
+const (
+	// renewalInterval is the time between two renewals at the source by the first member of a
+	// failure domain, on which the permits of its domain depend, and by others whose permit
+	// ends soon.
+	renewalInterval = 150 * time.Millisecond
+	// spreadInterval is the time between two renewals at a member drawn at random. The usual
+	// paths may not lead to most members, for example after a restart of all. Once the permit
+	// has been lost for longer than spreadLimit, spreadRetry replaces it.
+	spreadInterval = 300 * time.Millisecond
+	spreadLimit    = 4 * time.Second
+	spreadRetry    = time.Second
+	// renewalTimeout bounds one renewal.
+	renewalTimeout = exchangeTimeout
+)
+
+// maxPermitBytes bounds the body of a permitQuery, which names the members of a failure domain.
+const maxPermitBytes = 64 << 10
+
+// permitQuery asks for a grant.
+type permitQuery struct {
+	From string      `json:"from"`
+	Vote quorum.Vote `json:"vote"`
+}
+
+func (qu *permitQuery) check() error { return qu.Vote.Check() }
+
+// permitReply answers a permitQuery.
+type permitReply struct{ quorum.Grant }
+
+func (re *permitReply) check() error { return re.Check() }
+
+// run renews the permit between the exchanges.
+func (pe *permits) run(ctx context.Context) {
+	var spreadAt time.Time
+	for delay.Pause(ctx, renewalInterval) {
+		now := pe.me.deps.Now()
+		age := now.Sub(pe.confirmedAt.load())
+		source, hasSource := pe.me.roster.source()
+		if hasSource && (age > quorum.RenewAge || source.Domain != pe.me.settings.Site.Domain) {
+			go pe.renew(ctx, source)
+		}
+		if age <= quorum.SpreadAge || now.Before(spreadAt) {
+			continue
+		}
+		spreadAt = now.Add(spreadInterval)
+		if age > spreadLimit && now.Sub(pe.me.startedAt) > spreadLimit {
+			spreadAt = now.Add(spreadRetry)
+		}
+		if en, ok := pe.me.roster.anyOther(); ok {
+			go pe.renew(ctx, en)
+		}
+	}
+}
+
+// renew asks a member for a grant. Failures are those of exchanges, which are logged.
+func (pe *permits) renew(ctx context.Context, en entry) {
+	ctx, cancel := context.WithTimeout(ctx, renewalTimeout)
+	defer cancel()
+	asked := pe.me.deps.Now()
+	var re permitReply
+	if err := pe.me.peers.post(ctx, "http://"+en.Address+permitPath, permitQuery{From: pe.me.settings.Name, Vote: *pe.vote(en.Name)}, &re); err == nil {
+		pe.accept(en.Name, re.Grant, asked)
+	}
+}
+
+// serve answers another member's query for a grant.
+func (pe *permits) serve(rw http.ResponseWriter, rq *http.Request) {
+	var qu permitQuery
+	if err := readExchange(http.MaxBytesReader(rw, rq.Body, maxPermitBytes), &qu); err != nil {
+		http.Error(rw, err.Error(), http.StatusBadRequest)
+		return
+	}
+	pe.receive(qu.From, qu.Vote)
+	rw.Header().Set("Content-Type", "application/json")
+	_ = json.NewEncoder(rw).Encode(permitReply{pe.grant(qu.From)})
+}
--- a/io/member/plugins.go
+++ b/io/member/plugins.go
@@ -35,6 +35,7 @@
 		background("members", func(me *Member, ctx context.Context) { me.roster.run(ctx) }),
 		background("shares", (*Member).applyShareChanges),
 		background("exchange", func(me *Member, ctx context.Context) { me.peers.run(ctx) }),
+		background("permits", func(me *Member, ctx context.Context) { me.permits.run(ctx) }),
 		background("guards", func(me *Member, ctx context.Context) { me.monitors.run(ctx) }),
 		background("upkeep", (*Member).maintain),
 		{
