Split the wait for a quorum, and give each constant its comment

The linter asks for the comment; the check of the listing is a step of its own. No change of behaviour: the unit tests of io/member and core/quorum pass.

--- a/core/quorum/quorum.go
+++ b/core/quorum/quorum.go
@@ -36,8 +36,9 @@
 	// between regions.
 	Duration = 1200 * time.Millisecond
 	// RenewAge is the age of a permit's evidence from which a member asks its source more
-	// often, and SpreadAge that from which it asks others too.
-	RenewAge  = 700 * time.Millisecond
+	// often.
+	RenewAge = 700 * time.Millisecond
+	// SpreadAge is the age from which it asks other members too.
 	SpreadAge = 950 * time.Millisecond
 	// margin is added to the wait for the permits of other instances, for the rounding of
 	// ages and clocks that run at different speeds.
--- a/io/member/change_suspend.go
+++ b/io/member/change_suspend.go
@@ -128,8 +128,7 @@
 }
 
 // awaitQuorum waits until at least half of the members have answered, so that the others
-// cannot renew their permits. A coordinator that is cut off from most of them changes nothing,
-// nor does one that was until now: its listing is older than theirs.
+// cannot renew their permits. A coordinator that is cut off from most of them changes nothing.
 func (mo *monitor) awaitQuorum(ctx context.Context, ch *leaderChange) error {
 	su, until := ch.suspension, mo.me.deps.Now().Add(quorumTimeout)
 	for !su.ending.HasQuorum() {
@@ -142,13 +141,20 @@
 			return err
 		}
 	}
-	if su.listing > mo.me.listing().ContentRevision {
-		if err := mo.me.refreshListing(ctx); err != nil {
-			event.Log(mo.me.log, event.PlatformDown, "what", "listing", "error", err.Error())
-		}
-		return errListingOld
+	return mo.checkNewestListing(ctx, su.listing)
+}
+
+// checkNewestListing returns an error if a member that has answered has a newer listing than
+// this one, which was cut off until now and may not know of a newer leader. It reads the
+// listing for the next attempt then.
+func (mo *monitor) checkNewestListing(ctx context.Context, newest uint64) error {
+	if newest <= mo.me.listing().ContentRevision {
+		return nil
 	}
-	return nil
+	if err := mo.me.refreshListing(ctx); err != nil {
+		event.Log(mo.me.log, event.PlatformDown, "what", "listing", "error", err.Error())
+	}
+	return errListingOld
 }
 
 // quorumTimeout bounds the wait for the answers of half of the members.
