--- a/io/member/peer_test.go
+++ b/io/member/peer_test.go
@@ -17,6 +17,7 @@
 
 	"banyanspring/core/catlg"
 	"banyanspring/core/group"
+	"banyanspring/core/quorum"
 	"banyanspring/tests/mutat"
 )
 
@@ -138,6 +139,7 @@
 		}
 		tm.makeReply(qu, tm.now)
 	}
+	checkPermitMessages(t, tm, raw)
 	var re exchangeReply
 	if readExchange(strings.NewReader(string(raw)), &re) == nil {
 		if re.Members != nil {
@@ -156,6 +158,39 @@
 	}
 }
 
+// checkPermitMessages checks that a vote, a grant, a suspension or an answer to one is refused
+// or used, and that neither a permit from the future nor a suspension without an end comes
+// from it.
+func checkPermitMessages(t *testing.T, tm *testMember, raw []byte) {
+	t.Helper()
+	tm.permits = newPermits(tm.Member)
+	read := func(out exchangeMessage) bool { return readExchange(strings.NewReader(string(raw)), out) == nil }
+	var qu permitQuery
+	if read(&qu) {
+		tm.permits.receive(qu.From, qu.Vote)
+		tm.permits.grant(qu.From)
+	}
+	var re permitReply
+	if read(&re) {
+		tm.permits.accept("a", re.Grant, tm.now)
+	}
+	var su suspendQuery
+	if read(&su) {
+		tm.permits.suspend(su.Suspension(tm.now))
+	}
+	var an suspendReply
+	if read(&an) {
+		en := quorum.NewEnding([]string{"a"})
+		en.Add("a", an.Answer, tm.now)
+		at, _ := en.EndsAt()
+		require.False(t, at.After(tm.now.Add(2*quorum.Duration)))
+	}
+	require.False(t, tm.permits.confirmedAt.load().After(tm.now))
+	for _, su := range *tm.permits.suspended.Load() {
+		require.False(t, su.ExpiresAt.After(tm.now.Add(time.Minute)))
+	}
+}
+
 func exchangeSeeds() [][]byte {
 	var out [][]byte
 	for _, body := range oddExchanges {
@@ -165,6 +200,11 @@
 	}
 	slices.SortFunc(out, bytes.Compare)
 	return append(out,
+		[]byte(`{"from":"a","vote":{"echo":{"run":3,"ms":5},"echo_ms":7,"heard":{"b":9},"suspensions":[{"group":"g","upstream":"u",`+
+			`"token":4,"attempt":1,"left_ms":900}]}}`),
+		[]byte(`{"grant":{"stamp":{"run":3,"ms":5},"confirmed_ms":7},"stamp":{"run":3,"ms":5},"confirmed_ms":7}`),
+		[]byte(`{"group":"g","upstream":"u","token":4,"attempt":1,"over":true,"left_ms":900}`),
+		[]byte(`{"contacts":[{"name":"b","age_ms":3}],"uptime_ms":60000,"listing":9}`),
 		[]byte(`{"from":"a","catalog":3,"opinions":[{"from":"a","group":"g","leader":"u","age":5,"proven":70,"stalled":2,"hold":3}]}`),
 		[]byte(`{"catalog":4,"catalog_patch":"H4sIAAAAAAAA","catalog_ms":3,"listing":{"revision":8,"upstreams":[{"id":"i-1","group":"g",`+
 			`"address":"10.0.0.1:80","slots":2}]},"members":{"at":7,"objects":[{"name":"a","revision":3,"value":{"name":"a"}}],`+
