Suspend the writes to any leader of the group

Callers saw: writes that were reported as a success were lost after a cut had healed.

Cause (5022, 8022): a coordinator beside the cut replaced a leaving leader that it could stop, at 15.3 s. The other one, on the side of most members, did not know of it, and suspended the writes to the leader of before.

Change: a suspension names the group and ends the writes to any leader of it. Where a replaced leader goes on and no fence is checked, it is narrowed to that leader once the new one leads.

Evidence: TestSuspensionOfAChangeAppliesToAnyLeader failed before.

--- a/core/quorum/suspension.go
+++ b/core/quorum/suspension.go
@@ -8,11 +8,12 @@
 	"github.com/cockroachdb/errors"
 )
 
-// Suspension ends the writes to a leader that is being replaced and may not have stopped.
-// A group has one at most; the one with the highest token and attempt is in force.
+// Suspension ends the writes to the leader of a group that is being replaced and may not have
+// stopped. A group has one at most; the one with the highest token and attempt is in force.
 type Suspension struct {
 	Group string
-	// Upstream is the leader; empty if the coordinator does not know it.
+	// Upstream is the only leader whose writes are suspended; empty if it is any one: the
+	// coordinator may not know who leads.
 	Upstream string
 	// Token is the fencing token of the coordinator, and Attempt counts its changes.
 	Token, Attempt uint64
--- a/io/member/change_suspend.go
+++ b/io/member/change_suspend.go
@@ -66,14 +66,14 @@
 	_ = json.NewEncoder(rw).Encode(re)
 }
 
-// beginSuspension asks all members to pass on no more writes to the leader of the change,
-// which may not have stopped.
+// beginSuspension asks all members to pass on no more writes to any leader of the group: that
+// of the change may not have stopped, and another coordinator may have replaced it.
 func (mo *monitor) beginSuspension(ch *leaderChange) {
 	if ch.suspension != nil {
 		return
 	}
 	names := mo.me.roster.names()
-	su := mo.me.permits.begin(mo.name, ch.leader.ID, ch.token)
+	su := mo.me.permits.begin(mo.name, "", ch.token)
 	ch.suspension = &suspension{Suspension: su, ending: quorum.NewEnding(names), answers: make(chan memberAnswer, len(names))}
 	ch.suspension.ending.Add(mo.me.settings.Name, mo.me.permits.suspend(su), mo.me.deps.Now())
 	mo.sendSuspension(su, ch.callBy, ch.suspension.answers)
@@ -192,10 +192,25 @@
 	}
 }
 
+// narrowSuspension leaves only the old leader suspended, which goes on after the change.
+func (mo *monitor) narrowSuspension(ch *leaderChange) {
+	if ch.suspension == nil {
+		return
+	}
+	su := mo.me.permits.begin(mo.name, ch.leader.ID, ch.token)
+	mo.me.permits.suspend(su)
+	mo.sendToMembers(su)
+}
+
 // liftSuspension ends a suspension at all members. Those that are not reached now learn of
 // it by the exchanges.
 func (mo *monitor) liftSuspension(su quorum.Suspension) {
 	su = su.WithEnd()
 	mo.me.permits.suspend(su)
+	mo.sendToMembers(su)
+}
+
+// sendToMembers sends a suspension to all other members and ignores their answers.
+func (mo *monitor) sendToMembers(su quorum.Suspension) {
 	mo.sendSuspension(su, mo.me.deps.Now().Add(orderTimeout), make(chan memberAnswer, mo.me.roster.count()))
 }
--- a/io/member/leader_change.go
+++ b/io/member/leader_change.go
@@ -161,6 +161,8 @@
 	if ch.isStopped || !mo.me.settings.LeasesRequired {
 		// The old leader leads no more.
 		mo.endSuspension(ch)
+	} else {
+		mo.narrowSuspension(ch)
 	}
 	if mo.me.settings.LeasesRequired {
 		mo.publishLeader(ch, candidate.ID)
--- a/io/member/permits.go
+++ b/io/member/permits.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"encoding/json"
-	"fmt"
 	"math/rand/v2"
 	"net/http"
 	"sync"
@@ -48,7 +47,7 @@
 func (pe *permits) obstacle(name, leader string) engine.Obstacle {
 	now := pe.me.deps.Now()
 	if su, ok := (*pe.suspended.Load())[name]; ok && su.Applies(leader) && now.Before(su.ExpiresAt) {
-		return engine.Obstacle{Reason: fmt.Sprintf("leader %s is being replaced", leader)}
+		return engine.Obstacle{Reason: "the leader of " + name + " is being replaced"}
 	}
 	if now.Before(pe.expiresAt()) {
 		return engine.Obstacle{}
--- a/io/member/permits_test.go
+++ b/io/member/permits_test.go
@@ -9,6 +9,7 @@
 
 	"github.com/stretchr/testify/require"
 
+	"banyanspring/core/group"
 	"banyanspring/core/quorum"
 )
 
@@ -85,5 +86,15 @@
 	tm.now = tm.now.Add(suspensionLimit)
 	require.Empty(t, tm.permits.obstacle("g", "p").Reason)
 	tm.permits.suspend(tm.permits.begin("g", "", 7))
-	require.NotEmpty(t, tm.permits.obstacle("g", "q").Reason, "the leader is not known to the coordinator")
+	require.NotEmpty(t, tm.permits.obstacle("g", "q").Reason, "another coordinator may have appointed it")
+}
+
+// LOST, another coordinator, beside the cut, has appointed a leader that the one which suspends
+// the writes does not know of.
+func TestSuspensionOfAChangeAppliesToAnyLeader(t *testing.T) {
+	tm := newTestMember()
+	tm.list("here")
+	mo := tm.monitors.get("g", tm.now)
+	mo.beginSuspension(&leaderChange{leader: group.Upstream{ID: "p"}, callBy: tm.now.Add(time.Second), token: 7})
+	require.NotEmpty(t, tm.permits.obstacle("g", "q").Reason)
 }
