Test that a suspension which does not apply is not answered

Found by reading the change again: a suspension with a lower token than an ended one is ignored, and answered as if it applied, so that its coordinator relies on the answer. Two coordinators by turns within 15.5 s are needed, of which the one with the higher token gave up before its call; after a call the fence refuses the lower token.

--- a/io/member/permits_test.go
+++ b/io/member/permits_test.go
@@ -1,9 +1,12 @@
 package member
 
 import (
+	"bytes"
 	"context"
 	"encoding/json"
 	"fmt"
+	"net/http"
+	"net/http/httptest"
 	"testing"
 	"time"
 
@@ -98,3 +101,18 @@
 	mo.beginSuspension(&leaderChange{leader: group.Upstream{ID: "p"}, callBy: tm.now.Add(time.Second), token: 7})
 	require.NotEmpty(t, tm.permits.obstacle("g", "q").Reason)
 }
+
+// LOST, a member that knows an ended suspension with a higher token ignores one with a lower
+// token and answers it all the same, so that its coordinator relies on the answer.
+func TestSuspensionThatIsNotInForceIsNotAnswered(t *testing.T) {
+	tm := newTestMember()
+	tm.list("here")
+	tm.permits.suspend(tm.permits.begin("g", "", 9).WithEnd())
+	older := tm.permits.begin("g", "", 7)
+	body, err := json.Marshal(suspendQuery{older.Wire(tm.now)})
+	require.NoError(t, err)
+	rw := httptest.NewRecorder()
+	tm.peers.serveSuspension(rw, httptest.NewRequest(http.MethodPost, suspendPath, bytes.NewReader(body)))
+	isSuspended := tm.permits.obstacle("g", "p").Reason != ""
+	require.True(t, isSuspended || rw.Code != http.StatusOK)
+}
