--- a/review/standin-2/daemon.go
+++ b/review/standin-2/daemon.go
@@ -227,6 +227,9 @@
 func (w *world) fail(format string, args ...any) {
 	w.rec.add("could not run: "+format, args...)
 	fmt.Printf("could not run: "+format+"\n", args...)
+	if os.Getenv("KEEP") != "" {
+		fmt.Println(w.dir)
+	}
 	w.stop()
 	os.Exit(2)
 }
--- a/review/standin-2/database.go
+++ b/review/standin-2/database.go
@@ -51,6 +51,8 @@
 	up       bool
 	deaf     bool
 	draining bool
+	// hasLeft is true once the database has ended as planned.
+	hasLeft  bool
 	frozen   uint64
 	log      []entry
 	slots    chan struct{}
@@ -93,8 +95,11 @@
 	missed := 0
 	for {
 		db.gr.mu.Lock()
-		up := db.up
+		up, hasLeft := db.up, db.hasLeft
 		db.gr.mu.Unlock()
+		if hasLeft {
+			return
+		}
 		if up {
 			missed = 0
 			db.register()
@@ -212,6 +217,16 @@
 	db.gr.cond.Broadcast()
 }
 
+// leave ends the process of a database as planned.
+func (db *database) leave() {
+	db.crash()
+	db.gr.mu.Lock()
+	db.hasLeft = true
+	db.gr.mu.Unlock()
+	db.gr.st.remove("servers", db.id)
+	db.gr.rec.add("database %s has left, and its entry is removed", db.id)
+}
+
 func (db *database) accept(ln net.Listener) {
 	for {
 		raw, err := ln.Accept()
