--- a/review/standin-2/database.go
+++ b/review/standin-2/database.go
@@ -275,7 +275,8 @@
 	tx       bool
 	readOnly bool
 	failed   bool
-	values   map[string]string
+	// values holds the lengths of the session's values.
+	values   map[string]int
 	prepared map[string]string
 	pending  map[string]string
 	writer   string
@@ -306,7 +307,7 @@
 		_, _ = fmt.Fprintf(raw, "ERROR WRONGNODE %s\r\n", db.id)
 		return
 	}
-	co := &conn{db: db, values: map[string]string{}, prepared: map[string]string{}}
+	co := &conn{db: db, values: map[string]int{}, prepared: map[string]string{}}
 	gr.mu.Lock()
 	hello := "READY I " + db.position() + "\r\n"
 	gr.mu.Unlock()
@@ -368,11 +369,11 @@
 	case "STATUS", "PAUSE", "RESUME", "STEPDOWN":
 		return co.control(word, rest)
 	case "DISCARD":
-		co.values, co.prepared = map[string]string{}, map[string]string{}
+		co.values, co.prepared = map[string]int{}, map[string]string{}
 		return "", done, 0
 	case "SET":
 		name, value, _ := strings.Cut(rest, " ")
-		co.values[name] = value
+		co.values[name] = len(value)
 		return "", done, 0
 	case "PREPARE":
 		name, shape, _ := strings.Cut(rest, " ")
