--- a/review/standin-2/daemon.go
+++ b/review/standin-2/daemon.go
@@ -22,17 +22,22 @@
 	control  string
 	relay    string
 	settings string
+	door     *door
 	process  *exec.Cmd
 	exited   chan struct{}
 	log      *os.File
 }
 
-// freePort returns a free port of a loopback address.
-func freePort(ip string) string {
-	ln, err := net.Listen("tcp", ip+":0")
-	must(err)
-	defer func() { _ = ln.Close() }()
-	return ln.Addr().String()
+// freePorts returns different addresses with free ports of a loopback address.
+func freePorts(ip string, count int) []string {
+	var out []string
+	for range count {
+		ln, err := net.Listen("tcp", ip+":0")
+		must(err)
+		defer func() { _ = ln.Close() }()
+		out = append(out, ln.Addr().String())
+	}
+	return out
 }
 
 // world is a small deployment.
@@ -92,7 +97,9 @@
 	num := len(w.daemons) + 1
 	ip := fmt.Sprintf("127.0.%d.%d", 40+os.Getpid()%200, num)
 	da := &daemon{w: w, name: fmt.Sprintf("edge-%s-%d", zone, num), zone: zone, ip: ip}
-	da.frontend, da.ready, da.control, da.relay = freePort(ip), freePort(ip), freePort(ip), freePort(ip)
+	ports := freePorts(ip, 4)
+	da.frontend, da.ready, da.control, da.relay = ports[0], ports[1], ports[2], ports[3]
+	da.door = w.st.openDoor()
 	da.settings = filepath.Join(w.dir, da.name+".yaml")
 	w.daemons = append(w.daemons, da)
 	return da
@@ -146,7 +153,7 @@
   thaw-ms: 300
 platform: {address: %q, form: "objects", writes-per-s: 400, reads-per-s: 2000, retention-s: 20, value-bytes: 1048576, min-ttl-ms: 1000}
 cloud: {address: %q, rate-per-s: 50.0, duties: ["failover"], duty-per-s: 50.0}
-`, da.name, da.ip, da.zone, da.frontend, da.ready, da.control, port, port, strings.Join(seeds, "\n"), w.memoryMB, w.st.address, w.st.address)
+`, da.name, da.ip, da.zone, da.frontend, da.ready, da.control, port, port, strings.Join(seeds, "\n"), w.memoryMB, da.door.address, w.st.address)
 		must(os.WriteFile(da.settings, []byte(text), 0o600))
 	}
 }
@@ -208,6 +215,10 @@
 			return
 		}
 		if time.Now().After(until) {
+			for _, da := range w.daemons {
+				raw, _ := os.ReadFile(filepath.Join(w.dir, da.name+".log"))
+				w.rec.add("daemon %s: ready %v, the end of its log: %s", da.name, da.isReady(), raw[max(0, len(raw)-600):])
+			}
 			w.fail("the daemons are not ready after 20 s")
 		}
 	}
--- a/review/standin-2/store.go
+++ b/review/standin-2/store.go
@@ -9,6 +9,7 @@
 	"strconv"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"time"
 )
 
@@ -69,6 +70,42 @@
 	return st
 }
 
+// door is an address of the store for one machine, which the store may turn away.
+type door struct {
+	address string
+	isShut  atomic.Bool
+}
+
+func (st *store) openDoor() *door {
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	must(err)
+	dr := &door{address: ln.Addr().String()}
+	go func() {
+		_ = http.Serve(ln, http.HandlerFunc(func(rw http.ResponseWriter, rq *http.Request) {
+			if dr.isShut.Load() {
+				rw.WriteHeader(http.StatusServiceUnavailable)
+				return
+			}
+			st.serve(rw, rq)
+		}))
+	}()
+	return dr
+}
+
+// oldest returns the names of the objects of a kind, the one that was written first first.
+func (st *store) oldest(kind string) []string {
+	st.mu.Lock()
+	defer st.mu.Unlock()
+	var names []string
+	for name := range st.objects[kind] {
+		names = append(names, name)
+	}
+	sort.Slice(names, func(left, right int) bool {
+		return st.objects[kind][names[left]].rev < st.objects[kind][names[right]].rev
+	})
+	return names
+}
+
 func (st *store) serveFailover(rw http.ResponseWriter, rq *http.Request) {
 	var body struct{ Service, ID string }
 	raw, _ := io.ReadAll(rq.Body)
