--- a/review/standin-2/database.go
+++ b/review/standin-2/database.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"fmt"
+	"io"
 	"net"
 	"strconv"
 	"strings"
@@ -52,7 +53,9 @@
 	deaf     bool
 	draining bool
 	// hasLeft is true once the database has ended as planned.
-	hasLeft  bool
+	hasLeft bool
+	// isSilent is true if nothing answers at the address any more, as with a machine without power.
+	isSilent bool
 	frozen   uint64
 	log      []entry
 	slots    chan struct{}
@@ -112,6 +115,9 @@
 }
 
 func (db *database) register() {
+	if db.gr.st.isAway.Load() {
+		return
+	}
 	db.gr.mu.Lock()
 	db.sequence++
 	role, state := "replica", "ready"
@@ -217,6 +223,25 @@
 	db.gr.cond.Broadcast()
 }
 
+// comeBack starts a crashed database again: a new one at its address with its log. It leads if no
+// other database was promoted.
+func (db *database) comeBack(id string) {
+	gr := db.gr
+	ln, err := net.Listen("tcp", db.address)
+	must(err)
+	gr.mu.Lock()
+	next := &database{
+		gr: gr, id: id, zone: db.zone, address: db.address, born: time.Now().UnixMilli(), ln: ln, conns: map[net.Conn]bool{}, up: true,
+		leads: db.leads && gr.primary() == nil, log: db.log, slots: make(chan struct{}, cap(db.slots)), work: db.work, applyDelay: db.applyDelay,
+	}
+	db.leads = false
+	gr.databases = append(gr.databases, next)
+	gr.rec.add("database %s has come back at its address as %s, with its log at %s, as %s", db.id, id, next.position(), next.role())
+	gr.mu.Unlock()
+	go next.accept(ln)
+	go next.beat()
+}
+
 // leave ends the process of a database as planned.
 func (db *database) leave() {
 	db.crash()
@@ -227,6 +252,18 @@
 	db.gr.rec.add("database %s has left, and its entry is removed", db.id)
 }
 
+// goSilent ends a database as planned together with its machine, so that nothing refuses connections.
+func (db *database) goSilent() {
+	db.gr.mu.Lock()
+	db.up, db.hasLeft, db.isSilent = false, true, true
+	for raw := range db.conns {
+		_ = raw.Close()
+	}
+	db.gr.mu.Unlock()
+	db.gr.st.remove("servers", db.id)
+	db.gr.rec.add("database %s has left with its machine, and its entry is removed", db.id)
+}
+
 func (db *database) accept(ln net.Listener) {
 	for {
 		raw, err := ln.Accept()
@@ -286,6 +323,11 @@
 	defer func() { _ = raw.Close() }()
 	gr := db.gr
 	gr.mu.Lock()
+	if db.isSilent {
+		gr.mu.Unlock()
+		_, _ = io.Copy(io.Discard, raw)
+		return
+	}
 	if !db.up {
 		gr.mu.Unlock()
 		return
--- a/review/standin-2/main.go
+++ b/review/standin-2/main.go
@@ -12,7 +12,7 @@
 		fmt.Println("usage: standin-2 CASE FOLDER")
 		os.Exit(2)
 	}
-	cases := map[string]func(dir string, trouble bool){"mixed": runMixed, "lost": runLost, "memory": runMemory, "config": runConfig}
+	cases := map[string]func(dir string, trouble bool){"mixed": runMixed, "lost": runLost, "memory": runMemory, "config": runConfig, "return": runReturn}
 	run, ok := cases[os.Args[1]]
 	if !ok {
 		fmt.Println("unknown case", os.Args[1])
--- a/review/standin-2/store.go
+++ b/review/standin-2/store.go
@@ -24,6 +24,8 @@
 	address  string
 	failover func(service, id string, token uint64) int
 	rec      *recorder
+	// isAway is true while the store is down for everybody.
+	isAway atomic.Bool
 }
 
 type stored struct {
@@ -82,7 +84,7 @@
 	dr := &door{address: ln.Addr().String()}
 	go func() {
 		_ = http.Serve(ln, http.HandlerFunc(func(rw http.ResponseWriter, rq *http.Request) {
-			if dr.isShut.Load() {
+			if dr.isShut.Load() || st.isAway.Load() {
 				rw.WriteHeader(http.StatusServiceUnavailable)
 				return
 			}
