Require the whole log of a stopped leader of its successor

Cause: the bound was lowered from the log of the leader, which had stopped and answered, to the highest log of the known replicas once these were frozen. A replica that had received the rest and left was known to instances that had all restarted, so it was not among them. Evidence: survey 1.9 and 1.4, step_down at 1.9, freeze at 1.4, promotion_begun with 1.4 and old_stopped true. Change: the log of a leader that has stopped, answers and is not behind a replica is the bound, always; nothing is frozen then. promotion_begun names the bound and its proof, which the log did not show. TestEntriesThatNoReplicaReceivedAreNotRequired and a part of TestReplicaThatHasLostItsLogProvesNothingBesideAStoppedLeader stated the lowering, which is wrong if the list of replicas is not complete. Their successors require the leader's log of every candidate in all those cases.

--- a/core/elect/proof.go
+++ b/core/elect/proof.go
@@ -107,13 +107,13 @@
 	if obstacle := ch.concurrentChange(); obstacle != NoObstacle {
 		return nil, obstacle
 	}
-	minimum, obstacle := ch.minimumPosition()
+	required, _, obstacle := ch.Required()
 	if obstacle != NoObstacle {
 		return nil, obstacle
 	}
 	var out []Replica
 	for _, re := range ch.receivers() {
-		if re.Answered && re.Received.Compare(minimum) >= 0 {
+		if re.Answered && re.Received.Compare(required) >= 0 {
 			out = append(out, re)
 		}
 	}
@@ -178,20 +178,28 @@
 	return NoObstacle
 }
 
-// minimumPosition returns the position up to which a new leader must have received the
-// log. Either the log of a leader that has stopped bounds what was acknowledged, or the
-// logs of all replicas do, which receive nothing more. The latter is less if the leader has
-// not replicated all of its log, and is of no use if a replica may have lost its own.
-func (ch Change) minimumPosition() (posn.Position, Obstacle) {
-	minimum, obstacle := ch.receivedByReplicas()
-	if !ch.isLeaderLogComplete() {
-		return minimum, obstacle
-	}
-	hasLostLog := slices.ContainsFunc(ch.Replicas, func(re Replica) bool { return re.Answered && re.HasLostLog })
-	if obstacle != NoObstacle || hasLostLog || ch.Leader.Received.Compare(minimum) < 0 {
-		return ch.Leader.Received, NoObstacle
+// Proof names what bounds the writes that may have been acknowledged.
+type Proof string
+
+// Proofs of a required position.
+const (
+	// StoppedLeader means that the log of the leader, which has stopped, holds all of them.
+	StoppedLeader Proof = "stopped_leader"
+	// FrozenReplicas means that the leader could acknowledge writes only because of replicas
+	// that are compared and receive nothing more.
+	FrozenReplicas Proof = "frozen_replicas"
+)
+
+// Required returns the position up to which a new leader must have received the log, and why no
+// less, or the obstacle if that is not known. Entries that a stopped leader has beyond all replicas
+// are required too: an upstream that nobody knows any more may have received them, and the leader
+// may have acknowledged them because of it.
+func (ch Change) Required() (posn.Position, Proof, Obstacle) {
+	if ch.isLeaderLogComplete() {
+		return ch.Leader.Received, StoppedLeader, NoObstacle
 	}
-	return minimum, NoObstacle
+	required, obstacle := ch.receivedByReplicas()
+	return required, FrozenReplicas, obstacle
 }
 
 // isLeaderLogComplete reports whether the leader's log holds all acknowledged writes and
--- a/core/elect/proof_test.go
+++ b/core/elect/proof_test.go
@@ -77,12 +77,30 @@
 	requireCandidates(t, ch, "a")
 }
 
-// The leader's log may go on beyond what any replica has received: nothing of that was
-// acknowledged, if no replica receives any more and none is missing.
-func TestEntriesThatNoReplicaReceivedAreNotRequired(t *testing.T) {
-	requireCandidates(t, stopped(30, frozen("a", 20), frozen("b", 18)), "a", "old")
+// LOST, a leader that held everything was replaced by a replica that was behind it, since all replicas
+// that the coordinator knew were behind and frozen. It had just started, and did not know the one that
+// had received the rest and had left (review/7).
+func TestEntriesThatNoKnownReplicaReceivedAreRequired(t *testing.T) {
+	requireCandidates(t, stopped(30, frozen("a", 20), frozen("b", 18)), "old")
 	requireCandidates(t, stopped(30, frozen("a", 20), received("b", 18)), "old")
 	requireCandidates(t, stopped(30, frozen("a", 20), Replica{ID: "b", IsListed: true}), "old")
+	requireCandidates(t, stopped(30, frozen("a", 30), frozen("b", 18)), "a", "old")
+	requireCandidates(t, stopped(30), "old")
+	left := Replica{ID: "c", HasEnded: true, HasBound: true, Bound: at(1, 20)}
+	requireCandidates(t, stopped(30, frozen("a", 20), left), "old")
+}
+
+func TestProofIsNamed(t *testing.T) {
+	required, proof, obstacle := stopped(30, frozen("a", 20)).Required()
+	require.Equal(t, NoObstacle, obstacle)
+	require.Equal(t, StoppedLeader, proof)
+	require.Equal(t, at(1, 30), required)
+	required, proof, obstacle = silent(frozen("a", 20), frozen("b", 18)).Required()
+	require.Equal(t, NoObstacle, obstacle)
+	require.Equal(t, FrozenReplicas, proof)
+	require.Equal(t, at(1, 20), required)
+	_, _, obstacle = silent(received("a", 20)).Required()
+	require.Equal(t, Unfrozen, obstacle)
 }
 
 func TestLogOfALeaderThatNoLongerAnswersBoundsNothing(t *testing.T) {
@@ -178,10 +196,11 @@
 // counts as one through which nothing was acknowledged.
 func TestReplicaThatHasLostItsLogProvesNothingBesideAStoppedLeader(t *testing.T) {
 	blank := frozen("a", 0)
-	requireCandidates(t, stopped(20, blank, frozen("b", 10)), "b", "old")
-	blank.HasLostLog = true
-	requireCandidates(t, stopped(20, blank, frozen("b", 10)), "old")
-	requireCandidates(t, stopped(20, blank, frozen("b", 20)), "b", "old")
+	for _, hasLostLog := range []bool{false, true} {
+		blank.HasLostLog = hasLostLog
+		requireCandidates(t, stopped(20, blank, frozen("b", 10)), "old")
+		requireCandidates(t, stopped(20, blank, frozen("b", 20)), "b", "old")
+	}
 	requireCandidates(t, silent(blank, frozen("b", 10)), "b")
 }
 
--- a/io/member/leader_change.go
+++ b/io/member/leader_change.go
@@ -154,8 +154,10 @@
 		mo.release(ch, err)
 		return candidate.ID, err
 	}
+	required, proof, _ := mo.state(ch).Required()
 	event.Log(mo.me.log, event.PromotionBegun, "group", mo.name, "candidate", candidate.ID, "reason", string(reason),
-		"term", ch.term+1, "token", token, "old", ch.leader.ID, "old_stopped", ch.isStopped, "received", candidate.Received.String(),
+		"term", ch.term+1, "token", token, "old", ch.leader.ID, "old_stopped", ch.isStopped, "received", formatPosition(candidate.Received),
+		"required", formatPosition(required), "proof", string(proof),
 		"writes_in_ms", max(0, ch.leases.writesFrom.Sub(mo.me.deps.Now()).Milliseconds()))
 	if err := mo.appoint(ctx, ch, candidate.ID); err != nil {
 		mo.release(ch, err)
@@ -227,26 +229,41 @@
 	if isLeading && !mo.currentAppointments().mayBeAppointedLate(ch.leader.ID, mo.me.deps.Now()) {
 		mo.stopLeader(ch)
 	}
-	if ch.isStopped {
-		if candidate, ok := mo.awaitStoppedLog(ctx, ch); ok {
-			return candidate, mo.beforeCall(ch, candidate)
-		}
-	}
-	candidate, err := mo.chooseFrozen(ctx, ch)
+	candidate, err := mo.chooseCandidate(ctx, ch)
 	if err != nil {
 		return elect.Replica{}, err
 	}
 	return candidate, mo.beforeCall(ch, candidate)
 }
 
-// chooseFrozen freezes all replicas and returns the best upstream that may be appointed. If
-// the freeze proves nothing, the log of a leader that has stopped still does.
-func (mo *monitor) chooseFrozen(ctx context.Context, ch *leaderChange) (elect.Replica, error) {
-	err := mo.freezeAll(ctx, ch)
-	if err != nil && ch.isStopped {
-		return mo.choose(ch, withoutFreezes(mo.state(ch)))
+// chooseCandidate returns the upstream to appoint. The replicas are frozen only if the leader's log
+// proves nothing.
+func (mo *monitor) chooseCandidate(ctx context.Context, ch *leaderChange) (elect.Replica, error) {
+	if ch.isStopped {
+		if candidate, isProven, err := mo.chooseByStoppedLog(ctx, ch); isProven {
+			return candidate, err
+		}
 	}
-	if err != nil {
+	return mo.chooseFrozen(ctx, ch)
+}
+
+// chooseByStoppedLog returns the best upstream that holds the log of the leader, which has stopped,
+// and false if that log proves nothing.
+func (mo *monitor) chooseByStoppedLog(ctx context.Context, ch *leaderChange) (elect.Replica, bool, error) {
+	if candidate, ok := mo.awaitStoppedLog(ctx, ch); ok {
+		return candidate, true, nil
+	}
+	st := withoutFreezes(mo.state(ch))
+	if _, obstacle := st.Candidates(); obstacle != elect.NoObstacle {
+		return elect.Replica{}, false, nil
+	}
+	candidate, err := mo.choose(ch, st)
+	return candidate, true, err
+}
+
+// chooseFrozen freezes all replicas and returns the best upstream that may be appointed.
+func (mo *monitor) chooseFrozen(ctx context.Context, ch *leaderChange) (elect.Replica, error) {
+	if err := mo.freezeAll(ctx, ch); err != nil {
 		return elect.Replica{}, err
 	}
 	return mo.choose(ch, mo.state(ch))
