Take a refused connection for an end only after a drain

Cause: an upstream without an entry that refused connections everywhere counted as ended at once. One that has crashed refuses them too until it comes back with its log; beside a leader that was gone, a change did not wait for it. Change: the refusal counts if the upstream was seen to shut down and its drain bound is over. Result: TestRefusedConnectionIsNoProofThatACrashedUpstreamHasEnded fails before and passes; io/member passes.

--- a/io/member/change_state.go
+++ b/io/member/change_state.go
@@ -87,7 +87,7 @@
 		ClaimsLead: res.report.ClaimsLead, IsFrozen: res.report.FrozenTerm > 0, Received: res.report.Received, Term: res.report.Term,
 		EndsSoon: mo.me.sightings.endsBefore(up, now.Add(handoverTime), mo.me.settings.DrainBound),
 		// One that serves for longer than the bound would have answered meanwhile.
-		IsPastDrain:  mo.isLongSilent(up) && mo.me.sightings.endsBefore(up, now, mo.me.settings.DrainBound),
+		IsPastDrain:  mo.isLongSilent(up) && mo.isPastDrain(up, now),
 		IsLongSilent: mo.isLongSilent(up),
 		HasLostLog:   res.err == nil && !hasLog && mo.me.sightings.isListedFor(up, logGrace, now),
 	}
@@ -98,6 +98,11 @@
 	return re
 }
 
+// isPastDrain reports whether the upstream has been shutting down for longer than a drain takes.
+func (mo *monitor) isPastDrain(up group.Upstream, now time.Time) bool {
+	return mo.me.sightings.endsBefore(up, now, mo.me.settings.DrainBound)
+}
+
 // askLeader sends an order to the leader, also through other members.
 func (mo *monitor) askLeader(ch *leaderChange, timeout time.Duration, or order) orderResult {
 	if ch.leader.Address == "" {
--- a/io/member/monitor.go
+++ b/io/member/monitor.go
@@ -297,12 +297,14 @@
 	}
 }
 
+// checkFormer checks whether a former upstream has ended. One that refuses connections may have crashed,
+// and comes back with its log, unless it was shutting down.
 func (mo *monitor) checkFormer(fr former) {
 	now := mo.me.deps.Now()
 	_, _, err := mo.me.orders.queryLead(fr.upstream, now.Add(probeTimeout))
 	switch {
 	case err == nil:
-	case errors.Is(err, pool.ErrConnectionRefused) && mo.me.orders.isRefusedEverywhere(fr.upstream):
+	case errors.Is(err, pool.ErrConnectionRefused) && mo.isPastDrain(fr.upstream, now) && mo.me.orders.isRefusedEverywhere(fr.upstream):
 		mo.markEnded(fr.upstream, endedRefused)
 	case mo.me.isMissing(fr) && mo.me.orders.relay(fr.upstream, probeTimeout, order{Kind: orderStatus}).err != nil:
 		mo.markEnded(fr.upstream, endedMissing)
@@ -311,7 +313,7 @@
 
 // Reasons for which a former upstream counts as ended, in the event UpstreamEnded.
 const (
-	endedRefused = "all instances are refused at its address"
+	endedRefused = "it was shutting down for longer than a drain takes, and all instances are refused at its address"
 	endedMissing = "it does not answer, and has had no entry for long while the store was there"
 )
 
--- a/io/member/order_test.go
+++ b/io/member/order_test.go
@@ -7,6 +7,7 @@
 	"net/http"
 	"net/http/httptest"
 	"strings"
+	"syscall"
 	"testing"
 	"time"
 
@@ -143,6 +144,44 @@
 	require.False(t, tm.formers.mayRun(former))
 }
 
+// LOST, a replica that had crashed, and held writes that no other one had, counted as ended since it
+// refused connections, and came back with its log.
+func TestRefusedConnectionIsNoProofThatACrashedUpstreamHasEnded(t *testing.T) {
+	tm := newCutOffMember(t)
+	tm.settings.DrainBound = 7 * time.Second
+	now := time.Now()
+	tm.deps.Now = func() time.Time { return now }
+	dialOthers := tm.deps.Dial
+	tm.deps.Dial = func(ctx context.Context, address string) (net.Conn, error) {
+		if address == "127.0.0.1:1" || address == "127.0.0.1:2" {
+			return nil, syscall.ECONNREFUSED
+		}
+		return dialOthers(ctx, address)
+	}
+	tm.addRelay(t, "other", orderReply{Error: "refused", IsRefused: true})
+	crashed := group.Upstream{ID: "crashed", Address: "127.0.0.1:1", Group: "g", Slots: 1, Incarnation: 1}
+	left := group.Upstream{ID: "left", Address: "127.0.0.1:2", Group: "g", Slots: 1, Incarnation: 1, Leaving: true}
+	list := func(revision uint64, ups ...group.Upstream) {
+		tm.updateView(func(group.View) group.View { return group.NewView(revision, ups) })
+	}
+	list(1, crashed, left)
+	now = now.Add(7 * time.Second)
+	list(2)
+	mo := tm.monitors.get("g", now)
+	check := func() {
+		for _, fr := range tm.formers.ofGroup("g") {
+			mo.checkFormer(fr)
+		}
+	}
+	check()
+	require.True(t, tm.formers.mayRun(crashed))
+	require.True(t, tm.formers.mayRun(left), "its drain may not be over")
+	now = now.Add(time.Millisecond)
+	check()
+	require.True(t, tm.formers.mayRun(crashed))
+	require.False(t, tm.formers.mayRun(left), "it has left as announced")
+}
+
 func TestRelaysAreTheUpstreamsNeighboursFirst(t *testing.T) {
 	tm := newTestMember()
 	tm.list("there", "a", "b", "c")
