Bound what upstreams may have received that nobody remembers

Cause: the frozen replicas prove something only if every other receiver is known to have ended, with a bound. Instances that have just started know nothing of those that had left, and so took the best of the others for complete. The same holds for what is forgotten a minute after its end, and for upstreams that ended without a bound, which members did not tell each other. Change: each member keeps one position for each group, a report of the leader after its first listing, raised to the bounds of those that it forgets. It is part of a change as an ended upstream with that bound; answers to a suspension carry it. A leader that is not known counts as gone once the listing has been confirmed for 5 s since the start. Exchanges carry upstreams that ended without a bound; TestBoundOfAnEndedUpstreamIsALaterSample stated that they do not, and now states how. TestEndedUpstreamIsNotWaitedForIfTheLeaderIsNotKnown passes the 5 s first.

--- a/core/elect/random_test.go
+++ b/core/elect/random_test.go
@@ -20,9 +20,10 @@
 // Whatever is appointed must hold every acknowledged write, and once all faults are over a
 // leader that is shutting down must be replaced.
 //
-// The coordinator sees each change of the listing at once, and no upstream joins or starts
-// again between its last look at frozen replicas and the appointment: how those gaps are
-// closed is up to package member.
+// The coordinator may start late: then it knows only the upstreams that are listed, and the bound of
+// what the others may have received is the leader's next report. It sees each change of the listing at
+// once, and no upstream joins or starts again between its last look at frozen replicas and the
+// appointment: how those gaps are closed is up to package member.
 //
 //	ELECT_SEED first seed, ELECT_RUNS number of seeds
 
@@ -86,6 +87,12 @@
 	stoppedTerm uint64
 	ended       map[*upstream]bool
 	bounds      map[*upstream]posn.Position
+	// forgotten holds the upstreams that the coordinator does not know, since it has started after they
+	// had left, and forgottenBound what they may have received; nil if that is not known.
+	forgotten      map[*upstream]bool
+	forgottenBound *posn.Position
+	// starts counts the starts of the coordinator.
+	starts int
 	// known is what instances have seen and reported as a success, and belowKnown counts the changes
 	// that it prevented.
 	known      *Known
@@ -96,6 +103,7 @@
 	sc := &schedule{
 		rng: rand.New(rand.NewPCG(seed, seed)), term: 1,
 		ended: make(map[*upstream]bool), bounds: make(map[*upstream]posn.Position), known: NewKnown(),
+		forgotten: make(map[*upstream]bool), forgottenBound: &posn.Position{},
 	}
 	for range 3 {
 		sc.join()
@@ -183,7 +191,7 @@
 			sc.note("%s unreachable: %v", up.id, up.isUnreachable)
 		case 14:
 			if !up.hasEnded {
-				up.isListed = !up.isListed
+				sc.list(up, !up.isListed)
 				sc.note("%s listed: %v", up.id, up.isListed)
 			}
 		case 15:
@@ -265,7 +273,8 @@
 // restart starts a crashed upstream with its log; it is no longer frozen.
 func (sc *schedule) restart(up *upstream) {
 	if up.isDown && !up.hasEnded {
-		up.isDown, up.isFrozen, up.isListed, up.term = false, false, true, max(up.term, sc.term)
+		up.isDown, up.isFrozen, up.term = false, false, max(up.term, sc.term)
+		sc.list(up, true)
 		delete(sc.ended, up)
 		delete(sc.bounds, up)
 		sc.note("%s starts again", up.id)
@@ -281,6 +290,46 @@
 				sc.bounds[up] = le.received()
 			}
 		}
+		if sc.forgottenBound == nil {
+			at := le.received()
+			sc.forgottenBound = &at
+		}
+	}
+}
+
+// startCoordinator makes the coordinator one that has just started and knows what is listed. Upstreams
+// that run without an entry write it meanwhile.
+func (sc *schedule) startCoordinator() {
+	sc.starts++
+	sc.stoppedTerm, sc.forgottenBound, sc.known = 0, nil, NewKnown()
+	clear(sc.ended)
+	clear(sc.bounds)
+	for _, up := range sc.ups {
+		sc.list(up, up.isListed || !up.isDown)
+		if !up.isListed {
+			sc.forgotten[up] = true
+		}
+	}
+	sc.note("the coordinator starts")
+}
+
+// unknownReplica stands for the upstreams that had left before the coordinator started.
+func (sc *schedule) unknownReplica() Replica {
+	re := Replica{HasEnded: true}
+	if sc.forgottenBound != nil {
+		re.Bound, re.HasBound = *sc.forgottenBound, true
+	}
+	return re
+}
+
+// isKnown reports whether the coordinator knows an upstream.
+func (sc *schedule) isKnown(up *upstream) bool { return !sc.forgotten[up] }
+
+// list writes or removes the entry of an upstream. The coordinator sees both.
+func (sc *schedule) list(up *upstream, isListed bool) {
+	up.isListed = isListed
+	if isListed {
+		delete(sc.forgotten, up)
 	}
 }
 
@@ -309,16 +358,25 @@
 	return re
 }
 
+// reportLeader returns what the coordinator learns by asking the leader; zero if it does not know it.
+func (sc *schedule) reportLeader() Replica {
+	if !sc.isKnown(sc.leader) {
+		return Replica{}
+	}
+	return sc.report(sc.leader)
+}
+
 // survey returns the change as the coordinator knows it, with random events between any
 // two answers of replicas.
 func (sc *schedule) survey(leader Replica, isStopped bool) Change {
 	ch := Change{Term: sc.term, IsStopped: isStopped, Leader: leader}
 	for _, up := range slices.Clone(sc.ups) {
-		if up != sc.leader {
+		if up != sc.leader && sc.isKnown(up) {
 			ch.Replicas = append(ch.Replicas, sc.report(up))
 		}
 		sc.happen(1)
 	}
+	ch.Replicas = append(ch.Replicas, sc.unknownReplica())
 	return ch
 }
 
@@ -331,8 +389,11 @@
 			sc.unfreeze()
 		}
 	}()
+	if sc.rng.IntN(8) == 0 {
+		sc.startCoordinator()
+	}
 	sc.observe()
-	leader := sc.report(sc.leader)
+	leader := sc.reportLeader()
 	isStopped := leader.Answered && !leader.ClaimsLead && sc.stoppedTerm == sc.term
 	sc.happen(3)
 	if leader.ClaimsLead && sc.answers(sc.leader) && sc.rng.IntN(4) > 0 {
@@ -340,7 +401,7 @@
 		sc.note("%s stops", sc.leader.id)
 		// The answer to the order may be lost.
 		if sc.rng.IntN(4) > 0 {
-			isStopped, leader, sc.stoppedTerm = true, sc.report(sc.leader), sc.term
+			isStopped, leader, sc.stoppedTerm = true, sc.reportLeader(), sc.term
 		}
 	}
 	sc.happen(4)
@@ -364,7 +425,7 @@
 		}
 	}
 	if !isStopped {
-		leader = sc.report(sc.leader)
+		leader = sc.reportLeader()
 	}
 	if next, ok := sc.choose(sc.survey(leader, isStopped)); ok {
 		sc.happen(3)
@@ -421,7 +482,7 @@
 	for _, up := range sc.ups {
 		sc.restart(up)
 		up.isCut, up.isUnreachable = false, false
-		up.isListed = !up.hasEnded
+		sc.list(up, !up.hasEnded)
 	}
 	sc.leader.isLeaving = true
 	if le := sc.leader; sc.rng.IntN(2) == 0 && sc.isHeldWithout(le) {
@@ -432,6 +493,7 @@
 				sc.bounds[up] = posn.Position{}
 			}
 		}
+		sc.forgottenBound = &posn.Position{}
 	}
 	sc.join()
 }
@@ -477,12 +539,13 @@
 			sc.freeze(up)
 		}
 	}
-	ch := Change{Term: sc.term, IsStopped: isStopped, Leader: sc.report(sc.leader)}
+	ch := Change{Term: sc.term, IsStopped: isStopped, Leader: sc.reportLeader()}
 	for _, up := range sc.ups {
-		if up != sc.leader {
+		if up != sc.leader && sc.isKnown(up) {
 			ch.Replicas = append(ch.Replicas, sc.report(up))
 		}
 	}
+	ch.Replicas = append(ch.Replicas, sc.unknownReplica())
 	ch.Known = sc.known.OfGroup("g")
 	candidates, obstacle := ch.Candidates()
 	if obstacle != NoObstacle {
@@ -506,20 +569,23 @@
 		runs, _ := strconv.ParseUint(os.Getenv("ELECT_RUNS"), 10, 64)
 		count = max(runs, 1)
 	}
-	appointed, acked, belowKnown := 0, 0, 0
+	appointed, acked, belowKnown, starts := 0, 0, 0, 0
 	for seed := first; seed < first+count; seed++ {
 		sc := newSchedule(seed)
 		failure := sc.run()
 		require.Empty(t, failure, "seed %d:\n%s", seed, strings.Join(sc.trace, "\n"))
 		appointed += sc.appointed
 		belowKnown += sc.belowKnown
+		starts += sc.starts
 		for _, wr := range sc.writes {
 			if wr.isAcked {
 				acked++
 			}
 		}
 	}
-	t.Logf("%d schedules, %d appointments, %d acknowledged writes, %d changes below a known position", count, appointed, acked, belowKnown)
+	t.Logf("%d schedules, %d appointments, %d acknowledged writes, %d changes below a known position, %d starts of a coordinator",
+		count, appointed, acked, belowKnown, starts)
 	require.Greater(t, appointed, int(count))
+	require.Greater(t, starts, int(count)/2)
 	require.Greater(t, acked, int(count))
 }
--- a/io/member/change_state.go
+++ b/io/member/change_state.go
@@ -9,6 +9,7 @@
 
 	"banyanspring/core/elect"
 	"banyanspring/core/group"
+	"banyanspring/core/posn"
 )
 
 // state returns the change as package elect sees it.
@@ -33,9 +34,25 @@
 			ID: fr.upstream.ID, Incarnation: fr.upstream.Incarnation, HasEnded: true, Bound: fr.bound, HasBound: fr.hasBound || isLeaderGone,
 		})
 	}
+	bound, hasBound := mo.boundOfForgotten(ch)
+	out.Replicas = append(out.Replicas, elect.Replica{HasEnded: true, Bound: bound, HasBound: hasBound || isLeaderGone})
 	return out
 }
 
+// boundOfForgotten returns the bound of the upstreams that have left and are known to nobody who takes
+// part in the change, and false if there is none. Each member's bound holds beside the former upstreams
+// that it knows, all of which are part of the change, so the lowest one does.
+func (mo *monitor) boundOfForgotten(ch *leaderChange) (posn.Position, bool) {
+	bounds := slices.Clone(ch.forgotten)
+	if own, ok := mo.me.formers.boundOfForgotten(mo.name); ok {
+		bounds = append(bounds, own)
+	}
+	if len(bounds) == 0 {
+		return posn.Position{}, false
+	}
+	return slices.MinFunc(bounds, posn.Position.Compare), true
+}
+
 // stateIfStopped returns the change as it would be if the leader stopped now. Successes that were
 // reported after the replicas answered are left out: once the leader has stopped, its log decides.
 func (mo *monitor) stateIfStopped(ch *leaderChange) elect.Change {
@@ -65,9 +82,11 @@
 }
 
 // isUnknownLeaderGone reports whether a leader that is not known is to be treated as gone unless
-// its log is among those that answered: all other upstreams of the group have ended.
+// its log is among those that answered: all other upstreams of the group have ended, and none may come back
+// that had lost its entry before this member started.
 func (mo *monitor) isUnknownLeaderGone(ch *leaderChange) bool {
-	return ch.leader.ID == "" && !slices.ContainsFunc(ch.replicas, func(up group.Upstream) bool {
+	isFollowed := mo.me.confirmedListing().MissingFor(mo.me.startedAt) >= goneAfter
+	return ch.leader.ID == "" && isFollowed && !slices.ContainsFunc(ch.replicas, func(up group.Upstream) bool {
 		return ch.result(up).err != nil && !mo.me.formers.hasEnded(up)
 	})
 }
--- a/io/member/change_suspend.go
+++ b/io/member/change_suspend.go
@@ -31,6 +31,9 @@
 	// Formers holds the upstreams that are no longer listed: the coordinator may have started
 	// after their entries disappeared.
 	Formers []wireFormer `json:"formers,omitempty"`
+	// Forgotten is the bound of the upstreams that have left and are not among Formers; nil if there is
+	// none, since the member has started lately.
+	Forgotten *wirePosition `json:"forgotten,omitempty"`
 	// Known holds the positions in the group that upstreams are known to have received.
 	Known []wireHolding `json:"known,omitempty"`
 }
@@ -89,6 +92,9 @@
 		Answer: an, Listing: ps.me.listing().ContentRevision, Formers: ps.me.formers.toSend(now),
 		Known: ps.me.known.groupToSend(qu.Group, now),
 	}
+	if bound, ok := ps.me.formers.boundOfForgotten(qu.Group); ok {
+		re.Forgotten = newWirePosition(bound)
+	}
 	rw.Header().Set("Content-Type", "application/json")
 	_ = json.NewEncoder(rw).Encode(re)
 }
@@ -228,6 +234,9 @@
 		}
 		su.ending.Add(an.name, an.reply.Answer, an.at)
 		mo.me.formers.adopt(an.reply.Formers, mo.me.listing(), mo.me.deps.Now())
+		if bound := an.reply.Forgotten; bound != nil {
+			ch.forgotten = append(ch.forgotten, bound.position())
+		}
 		mo.me.known.adopt(an.reply.Known, an.at)
 		su.listing = max(su.listing, an.reply.Listing)
 	case <-timer.C:
--- a/io/member/former.go
+++ b/io/member/former.go
@@ -41,9 +41,15 @@
 type formers struct {
 	mu      sync.Mutex
 	byGroup map[string][]former
+	// forgotten holds for each group a position that the leader reported after all upstreams had
+	// left that are not in byGroup any more, or never were: whatever was acknowledged because of
+	// them is at or below it. A group is missing while no such position is known.
+	forgotten map[string]posn.Position
 }
 
-func newFormers() *formers { return &formers{byGroup: make(map[string][]former)} }
+func newFormers() *formers {
+	return &formers{byGroup: make(map[string][]former), forgotten: make(map[string]posn.Position)}
+}
 
 // update applies a change of the listing from old to next.
 func (fo *formers) update(old, next group.View, now time.Time) {
@@ -131,22 +137,52 @@
 }
 
 // observe sets the bounds of the upstreams that had ended when the sample was asked for, and
-// forgets those that ended long ago.
-func (fo *formers) observe(name string, sa evid.Sample, now time.Time) {
+// forgets those that ended long ago. followedSince is the time from which this member knows the upstreams
+// that leave; zero if it has no listing yet.
+func (fo *formers) observe(name string, sa evid.Sample, followedSince, now time.Time) {
 	fo.mu.Lock()
 	defer fo.mu.Unlock()
-	all, ok := fo.byGroup[name]
-	if !ok {
-		return
-	}
+	all := fo.byGroup[name]
 	for pos := range all {
 		if fr := &all[pos]; !fr.hasBound && !fr.endedAt.IsZero() && sa.Asked.After(fr.endedAt) {
 			fr.bound, fr.hasBound = sa.Position, true
 		}
 	}
-	fo.byGroup[name] = slices.DeleteFunc(all, func(fr former) bool {
+	isOld := func(fr former) bool {
 		return (fr.hasBound && now.Sub(fr.endedAt) > formerKeep) || now.Sub(fr.removedAt) > formerMaxAge
-	})
+	}
+	for _, fr := range all {
+		if isOld(fr) {
+			fo.forget(fr)
+		}
+	}
+	if len(all) > 0 {
+		fo.byGroup[name] = slices.DeleteFunc(all, isOld)
+	}
+	if _, ok := fo.forgotten[name]; !ok && !followedSince.IsZero() && sa.Asked.After(followedSince) {
+		fo.forgotten[name] = sa.Position
+	}
+}
+
+// forget makes the bound of the forgotten upstreams cover another one; mu is held.
+func (fo *formers) forget(fr former) {
+	name := fr.upstream.Group
+	bound, ok := fo.forgotten[name]
+	switch {
+	case !fr.hasBound:
+		delete(fo.forgotten, name)
+	case ok:
+		fo.forgotten[name] = bound.Max(fr.bound)
+	}
+}
+
+// boundOfForgotten returns the bound of the upstreams of a group that have left and are not known to
+// this member, and false if there is none.
+func (fo *formers) boundOfForgotten(name string) (posn.Position, bool) {
+	fo.mu.Lock()
+	defer fo.mu.Unlock()
+	bound, ok := fo.forgotten[name]
+	return bound, ok
 }
 
 // wireFormer is a former upstream on the wire between members.
@@ -154,9 +190,19 @@
 	Upstream group.Upstream `json:"upstream"`
 	// RemovedMs is how long ago its entry disappeared.
 	RemovedMs int64 `json:"removed"`
-	// Bound holds the term and the offset of its bound; nil if it has none, since it may be
-	// running.
-	Bound *[2]uint64 `json:"bound,omitempty"`
+	// HasEnded is true if its process has ended.
+	HasEnded bool `json:"ended,omitempty"`
+	// Bound holds its bound; nil if it has none.
+	Bound *wirePosition `json:"bound,omitempty"`
+}
+
+// wirePosition is a position on the wire between members: its term and its offset.
+type wirePosition [2]uint64
+
+func newWirePosition(po posn.Position) *wirePosition { return &wirePosition{po.Term.Number, po.Offset} }
+
+func (wp wirePosition) position() posn.Position {
+	return posn.Position{Term: posn.Term{Number: wp[0]}, Offset: wp[1]}
 }
 
 func (wf wireFormer) check() error {
@@ -175,19 +221,16 @@
 	return nil
 }
 
-// toSend returns the former upstreams that may be running or have a bound, for other members.
+// toSend returns the former upstreams, for other members.
 func (fo *formers) toSend(now time.Time) []wireFormer {
 	fo.mu.Lock()
 	defer fo.mu.Unlock()
 	var out []wireFormer
 	for _, all := range fo.byGroup {
 		for _, fr := range all {
-			if !fr.hasBound && !fr.endedAt.IsZero() {
-				continue
-			}
-			wf := wireFormer{Upstream: fr.upstream, RemovedMs: ageMs(fr.removedAt, now)}
+			wf := wireFormer{Upstream: fr.upstream, RemovedMs: ageMs(fr.removedAt, now), HasEnded: !fr.endedAt.IsZero()}
 			if fr.hasBound {
-				wf.Bound = &[2]uint64{fr.bound.Term.Number, fr.bound.Offset}
+				wf.Bound = newWirePosition(fr.bound)
 			}
 			out = append(out, wf)
 		}
@@ -216,11 +259,12 @@
 			pos = len(all) - 1
 			fo.byGroup[up.Group] = all
 		}
-		if fr := &all[pos]; wf.Bound != nil && !fr.hasBound {
-			fr.bound, fr.hasBound = posn.Position{Term: posn.Term{Number: wf.Bound[0]}, Offset: wf.Bound[1]}, true
-			if fr.endedAt.IsZero() {
-				fr.endedAt = now
-			}
+		fr := &all[pos]
+		if (wf.HasEnded || wf.Bound != nil) && fr.endedAt.IsZero() {
+			fr.endedAt = now
+		}
+		if wf.Bound != nil && !fr.hasBound {
+			fr.bound, fr.hasBound = wf.Bound.position(), true
 		}
 	}
 }
--- a/io/member/former_test.go
+++ b/io/member/former_test.go
@@ -60,16 +60,19 @@
 	tm.listUpstreams(1, two)
 	tm.listUpstreams(2)
 	ended := tm.now
-	tm.formers.observe("g", evid.Sample{Asked: ended.Add(time.Second), Position: at(1)}, tm.now)
+	tm.formers.observe("g", evid.Sample{Asked: ended.Add(time.Second), Position: at(1)}, time.Time{}, tm.now)
 	require.False(t, tm.formers.ofGroup("g")[0].hasBound)
 	tm.formers.markEnded(two, ended)
-	tm.formers.observe("g", evid.Sample{Asked: ended, Position: at(2)}, tm.now)
+	tm.formers.observe("g", evid.Sample{Asked: ended, Position: at(2)}, time.Time{}, tm.now)
 	require.False(t, tm.formers.ofGroup("g")[0].hasBound)
-	require.Empty(t, tm.formers.toSend(tm.now))
-	tm.formers.observe("g", evid.Sample{Asked: ended.Add(time.Millisecond), Position: at(3)}, tm.now)
-	tm.formers.observe("g", evid.Sample{Asked: ended.Add(time.Second), Position: at(4)}, tm.now)
+	sent := tm.formers.toSend(tm.now)
+	require.Len(t, sent, 1)
+	require.True(t, sent[0].HasEnded)
+	require.Nil(t, sent[0].Bound)
+	tm.formers.observe("g", evid.Sample{Asked: ended.Add(time.Millisecond), Position: at(3)}, time.Time{}, tm.now)
+	tm.formers.observe("g", evid.Sample{Asked: ended.Add(time.Second), Position: at(4)}, time.Time{}, tm.now)
 	require.Equal(t, at(3), tm.formers.ofGroup("g")[0].bound)
-	tm.formers.observe("g", evid.Sample{Asked: tm.now, Position: at(5)}, ended.Add(formerKeep+time.Second))
+	tm.formers.observe("g", evid.Sample{Asked: tm.now, Position: at(5)}, time.Time{}, ended.Add(formerKeep+time.Second))
 	require.Empty(t, tm.formers.ofGroup("g"))
 }
 
@@ -82,12 +85,97 @@
 		tm.listUpstreams(2)
 	}
 	sender.formers.markEnded(two, sender.now)
-	sender.formers.observe("g", evid.Sample{Asked: sender.now.Add(time.Millisecond), Position: at(9)}, sender.now)
+	sender.formers.observe("g", evid.Sample{Asked: sender.now.Add(time.Millisecond), Position: at(9)}, time.Time{}, sender.now)
 	receiver.applyReply(sender.makeReply(exchangeQuery{}, sender.now), "sender", receiver.now)
 	require.False(t, receiver.formers.mayRun(two))
 	require.Equal(t, at(9), receiver.formers.ofGroup("g")[0].bound)
 }
 
+// LOST, a member that had started later was not told of an upstream that had ended without a bound, and did not
+// wait for the log that it might have had alone.
+func TestEndedUpstreamWithoutABoundReachesTheOtherMembers(t *testing.T) {
+	two := group.Upstream{ID: "two", Address: "127.0.0.1:2", Incarnation: 7, Group: "g"}
+	sender, receiver := newTestMember(), newTestMember()
+	sender.listUpstreams(1, two)
+	sender.listUpstreams(2)
+	sender.formers.markEnded(two, sender.now)
+	receiver.applyReply(sender.makeReply(exchangeQuery{}, sender.now), "sender", receiver.now)
+	require.True(t, receiver.formers.hasEnded(two))
+	require.False(t, receiver.formers.ofGroup("g")[0].hasBound)
+}
+
+// LOST, all members had restarted after the replica with the last commits had left, and promoted another
+// one while the leader was out of reach.
+func TestUpstreamsThatLeftBeforeTheStartAreBoundedByALaterSample(t *testing.T) {
+	tm := newTestMember()
+	leader := group.Upstream{ID: "L", Address: "127.0.0.1:1", Group: "g", Incarnation: 1}
+	replica := group.Upstream{ID: "a", Address: "127.0.0.1:2", Group: "g", Incarnation: 1}
+	tm.listUpstreams(1, leader, replica)
+	mo := tm.monitors.get("g", tm.now)
+	mo.leader = "L"
+	var answered []posn.Position
+	obstacle := func() elect.Obstacle {
+		ch := mo.newChange(elect.Dead, 7)
+		ch.term, ch.leaderResult, ch.forgotten = 1, orderResult{err: errNoRelay}, answered
+		ch.results = map[string]orderResult{"a": {report: pool.Report{Term: 1, FrozenTerm: 2, Received: at(4)}}}
+		_, out := mo.state(ch).Candidates()
+		return out
+	}
+	observe := func(sa evid.Sample) { tm.formers.observe("g", sa, tm.followedSince.load(), tm.now) }
+	observe(evid.Sample{Asked: tm.now, Position: at(4)})
+	require.Equal(t, elect.Unanswered, obstacle(), "it may leave unseen until the listing is followed")
+	tm.pass(time.Second)
+	observe(evid.Sample{Asked: tm.followedSince.load(), Position: at(9)})
+	require.Equal(t, elect.Unanswered, obstacle(), "the sample may be older")
+	observe(evid.Sample{Asked: tm.now.Add(time.Millisecond), Position: at(9)})
+	require.Equal(t, elect.Behind, obstacle())
+	observe(evid.Sample{Asked: tm.now.Add(time.Second), Position: at(12)})
+	bound, ok := tm.formers.boundOfForgotten("g")
+	require.True(t, ok)
+	require.Equal(t, at(9), bound)
+
+	// A member that has been there since before vouches for less.
+	answered = []posn.Position{at(11), at(4), at(7)}
+	require.Equal(t, elect.NoObstacle, obstacle())
+}
+
+// LOST, if the bound of an upstream went with the memory of it.
+func TestBoundOfForgottenUpstreamsCoversThoseThatAreForgotten(t *testing.T) {
+	tm := newTestMember()
+	began := tm.now
+	two := group.Upstream{ID: "two", Address: "127.0.0.1:2", Group: "g"}
+	tm.formers.observe("g", evid.Sample{Asked: began.Add(time.Second), Position: at(1)}, began, tm.now)
+	forgottenAt := func() (posn.Position, bool) { return tm.formers.boundOfForgotten("g") }
+	leave := func(revision uint64) {
+		two.Incarnation++
+		tm.listUpstreams(revision, two)
+		tm.listUpstreams(revision + 1)
+	}
+	leave(1)
+	tm.formers.markEnded(two, tm.now)
+	tm.formers.observe("g", evid.Sample{Asked: tm.now.Add(time.Second), Position: at(5)}, began, tm.now)
+	bound, ok := forgottenAt()
+	require.True(t, ok)
+	require.Equal(t, at(1), bound)
+	tm.now = tm.now.Add(formerKeep + time.Second)
+	tm.formers.observe("g", evid.Sample{Asked: tm.now, Position: at(8)}, began, tm.now)
+	require.Empty(t, tm.formers.ofGroup("g"))
+	bound, ok = forgottenAt()
+	require.True(t, ok)
+	require.Equal(t, at(5), bound)
+
+	// One without a bound is covered by what the leader reports later.
+	leave(3)
+	tm.now = tm.now.Add(formerMaxAge + time.Second)
+	tm.formers.observe("g", evid.Sample{Asked: began, Position: at(8)}, began, tm.now)
+	_, ok = forgottenAt()
+	require.False(t, ok)
+	tm.formers.observe("g", evid.Sample{Asked: tm.now, Position: at(20)}, began, tm.now)
+	bound, ok = forgottenAt()
+	require.True(t, ok)
+	require.Equal(t, at(20), bound)
+}
+
 // A group had no leader for the rest of a play: the coordinator had restarted and did not know
 // who had led, so that an upstream that had ended could have no bound.
 func TestEndedUpstreamIsNotWaitedForIfTheLeaderIsNotKnown(t *testing.T) {
@@ -109,6 +197,10 @@
 	}
 	require.Empty(t, candidates(), "it may be the leader")
 	tm.formers.markEnded(ended, tm.now)
+	require.Empty(t, candidates(), "one that lost its entry before the start may be the leader and come back")
+	tm.pass(goneAfter - time.Millisecond)
+	require.Empty(t, candidates())
+	tm.pass(time.Millisecond)
 	require.Len(t, candidates(), 1)
 	ended.Incarnation = 2
 	list(answers, ended)
--- a/io/member/leader_change.go
+++ b/io/member/leader_change.go
@@ -11,6 +11,7 @@
 	"banyanspring/core/event"
 	"banyanspring/core/group"
 	"banyanspring/core/lease"
+	"banyanspring/core/posn"
 	"banyanspring/io/delay"
 )
 
@@ -104,6 +105,9 @@
 	// those that have ended.
 	replicas []group.Upstream
 	ended    []former
+	// forgotten holds what other members have answered as bounds of the upstreams that have left and that
+	// they do not know.
+	forgotten []posn.Position
 	// leaderResult and results are the latest answers.
 	leaderResult orderResult
 	results      map[string]orderResult
--- a/io/member/member.go
+++ b/io/member/member.go
@@ -141,6 +141,8 @@
 	catalogSince revision
 	// startedAt is when the member was created.
 	startedAt time.Time
+	// followedSince is when the member first had a listing, from which on it knows the upstreams that leave.
+	followedSince instant
 	// loadedAt is when the configuration and the listing were first available.
 	loadedAt instant
 	// hasListing is true once the listing of upstreams is available.
@@ -361,7 +363,7 @@
 	ops := me.engine.Opinions()
 	for _, op := range ops {
 		if !op.Sample.Asked.IsZero() {
-			me.formers.observe(op.Group, op.Sample, now)
+			me.formers.observe(op.Group, op.Sample, me.followedSince.load(), now)
 		}
 	}
 	me.known.recordSuccesses(ops)
--- a/io/member/watch.go
+++ b/io/member/watch.go
@@ -279,6 +279,7 @@
 // recordListingConfirmed records that the listing was that of the store at the time given.
 func (me *Member) recordListingConfirmed(at time.Time) {
 	me.listingAt.advance(at)
+	me.followedSince.setOnce(me.deps.Now())
 	me.mu.Lock()
 	defer me.mu.Unlock()
 	me.confirmed = me.confirmed.WithConfirmation(at, me.settings.ApplyBound*watchPercent/100+listingPause+confirmSlack)
