Wait for a leader that leads on and holds a known position

Cause: nobody below a known position is appointed while a silent upstream may come back with it. A leader that answered, could not be stopped and held the position is not silent, so a replica below it was appointed as the last resort. Change: such a leader counts as one that may still hand over what it holds. Result: TestKnownPositionThatALeaderHoldsIsWaitedFor fails before and passes.

--- a/core/elect/known.go
+++ b/core/elect/known.go
@@ -190,10 +190,12 @@
 	return highest, mayReturn, ok
 }
 
-// mayReturn reports whether an upstream that holds the position does not answer and may come back.
-// One that answers is compared by what it has now: if that is less, it has lost its log.
+// mayReturn reports whether an upstream that holds the position does not answer and may come back, or
+// is a leader that still leads and may be stopped yet. A replica that answers is compared by what it has
+// now: if that is less, it has lost its log.
 func (ch Change) mayReturn(ho Holding) bool {
-	if ch.Leader.mayReturn() {
+	isLeading := ch.Leader.Answered && ch.Leader.ClaimsLead && !ch.IsStopped
+	if ch.Leader.mayReturn() || (isLeading && ch.Leader.Received.Compare(ho.At) >= 0) {
 		return true
 	}
 	if ho.IsAcknowledged() {
--- a/core/elect/known_test.go
+++ b/core/elect/known_test.go
@@ -103,6 +103,22 @@
 	requireCandidates(t, blank, "a")
 }
 
+// LOST, a leader that answered and led on, but could not be stopped, held a position that had been reported as
+// a success, and a replica below it was appointed since no silent upstream held it.
+func TestKnownPositionThatALeaderHoldsIsWaitedFor(t *testing.T) {
+	ch := silent(frozen("a", 20), frozen("b", 18)).withKnown(Holding{Term: 1, At: at(1, 25), SeenBy: "other", SeenAt: seenAt})
+	ch.Leader = received("old", 27)
+	ch.Leader.ClaimsLead = true
+	requireObstacle(t, BelowKnown, ch)
+	ch.IsStopped, ch.Leader.ClaimsLead = true, false
+	requireCandidates(t, ch, "old")
+
+	// A leader that has less has lost its log.
+	ch.IsStopped, ch.Leader = false, received("old", 3)
+	ch.Leader.ClaimsLead = true
+	requireCandidates(t, ch, "a")
+}
+
 func TestKnownPositionDoesNotForbidAHolder(t *testing.T) {
 	quiet := Replica{ID: "R", IsListed: true}
 	requireCandidates(t, stopped(231, received("a", 183), quiet).withKnown(seen("R", 231)), "old")
