Close a connection whose answer cannot be read

Cause: a refusal from reading an answer, here message_too_large, passed through Conn.Run, whose refusals mean that nothing was run and that the connection is unchanged. The connection went back to the pool in the middle of the answer, and the statement ran again. Only memory_full was an exception. Change: no error from reading an answer is a refusal, on connections to databases and on links to homes, so that the connection is closed and a write is in doubt.

--- a/io/pool/conn.go
+++ b/io/pool/conn.go
@@ -177,20 +177,29 @@
 	for range count {
 		res, err := co.pool.deps.ReadResult(co.rd, reserve)
 		if err != nil {
-			if codes.Is(err, codes.MemoryFull) {
-				// Not a refusal: the statement ran.
-				return results, errors.Mark(errors.New(codes.From(err).Detail), ErrNoMemory)
-			}
 			if errors.Is(err, os.ErrDeadlineExceeded) {
 				co.outstanding = count - len(results)
 			}
-			return results, err
+			return results, answerError(err)
 		}
 		results = append(results, res)
 	}
 	return results, nil
 }
 
+// answerError returns the error of an answer that was not read to its end. It is never a refusal, which
+// would say that nothing was run and that the connection can be used again.
+func answerError(err error) error {
+	var ref *codes.Refusal
+	switch {
+	case !errors.As(err, &ref):
+		return err
+	case ref.Code == codes.MemoryFull:
+		return errors.Mark(errors.New(ref.Detail), ErrNoMemory)
+	}
+	return errors.Newf("answer cannot be read: %v", ref)
+}
+
 // drainTimeout is how long a connection whose statement timed out waits for the
 // outstanding answers. Most arrive within a few service times, and opening a new
 // connection would cost the upstream more than finishing them.
--- a/io/pool/relay.go
+++ b/io/pool/relay.go
@@ -247,8 +247,8 @@
 	if err == nil {
 		return answer, nil
 	}
-	if codes.Is(err, codes.MemoryFull) {
-		return answer, errors.Mark(errors.New(codes.From(err).Detail), ErrNoMemory)
+	if err = answerError(err); errors.Is(err, ErrNoMemory) {
+		return answer, err
 	}
 	li.rs.recordFailure(li.address)
 	return answer, errors.Mark(err, ErrHomeFailed)
