Take newer data from a member that asks, if the store does not confirm the own

Cause: a member takes data from its source or the store only. The first two in rank are each other's source; while the store turned both away, neither got what the four others had, although these told them their versions with each exchange. Change: a member that is asked by one with a newer configuration, listing or list of members exchanges with it, if the store has not confirmed the own data for longer than a watch and its pause take.

--- a/io/member/peer.go
+++ b/io/member/peer.go
@@ -267,6 +267,8 @@
 	http *http.Client
 	// hasExchanged is true once the first exchange with the source has ended.
 	hasExchanged atomic.Bool
+	// isCatchingUp is true during an exchange with a member that is not the source and has newer data.
+	isCatchingUp atomic.Bool
 	// isFetchingLists is true while this member requests lists by a transfer.
 	isFetchingLists atomic.Bool
 	// wanted holds an item if the next exchange with the source is to follow soon.
@@ -317,6 +319,9 @@
 	if qu.Listing > ps.me.listing().ContentRevision {
 		ps.me.newerListingAt.advance(now)
 	}
+	if ps.me.isBehind(qu, now) {
+		ps.catchUp(qu.From)
+	}
 	// The query may have been delayed on the way, so the true ages may be higher than
 	// those computed here. Samples need an upper bound of their age and are not used.
 	for pos := range qu.Opinions {
@@ -371,6 +376,30 @@
 	return re
 }
 
+// isBehind reports whether the asking member has a newer configuration, listing or list of members, and
+// the store has not confirmed this member's own for longer than a watch and its pause take. Data flows from a source to
+// those that ask it, so two members that are each other's source and do not reach the store would
+// keep theirs.
+func (me *Member) isBehind(qu exchangeQuery, now time.Time) bool {
+	isOld := func(confirmed *instant) bool { return now.Sub(confirmed.load()) > me.maxConfirmGap() }
+	return (qu.Catalog > me.catalog.Current().Version && isOld(&me.catalogAt)) ||
+		(qu.Listing > me.listing().ContentRevision && isOld(&me.listingAt)) ||
+		(qu.Members > me.roster.knownRevision() && isOld(&me.roster.confirmedAt))
+}
+
+// catchUp exchanges with a member that has newer data in the background, unless such an exchange is
+// running.
+func (ps *peers) catchUp(name string) {
+	en, ok := ps.me.roster.getMember(name)
+	if !ok || !ps.isCatchingUp.CompareAndSwap(false, true) {
+		return
+	}
+	go func() {
+		defer ps.isCatchingUp.Store(false)
+		ps.exchange(context.Background(), en)
+	}()
+}
+
 // run exchanges with the source periodically.
 func (ps *peers) run(ctx context.Context) {
 	var pause time.Duration
--- a/io/member/request_test.go
+++ b/io/member/request_test.go
@@ -1,9 +1,13 @@
 package member
 
 import (
+	"bytes"
 	"context"
+	"encoding/json"
 	"io"
 	"log/slog"
+	"net/http"
+	"net/http/httptest"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -11,6 +15,7 @@
 	"github.com/stretchr/testify/require"
 
 	"banyanspring/core/catlg"
+	"banyanspring/core/group"
 	"banyanspring/core/place"
 )
 
@@ -52,6 +57,34 @@
 	})
 }
 
+// CONFIG, two members that the store turned away and that were each other's source kept the former
+// configuration, although others asked them that had the new one (review/10).
+func TestMemberTakesNewerDataFromOneThatAsksIt(t *testing.T) {
+	next := newTestMember()
+	next.adoptCatalog(catlg.New(9, time.Second, nil, nil), fromStore)
+	next.listUpstreams(12, group.Upstream{ID: "one", Address: "127.0.0.1:1"})
+	next.settings.Name = "next"
+	tm := newCutOffMember(t)
+	tm.addPeer(t, "next", next.peers.handle)
+	tm.adoptCatalog(catlg.New(5, time.Second, nil, nil), fromStore)
+	ask := func() {
+		raw, err := json.Marshal(next.makeQuery(next.now))
+		require.NoError(t, err)
+		rec := httptest.NewRecorder()
+		tm.peers.handle(rec, httptest.NewRequest(http.MethodPost, exchangePath, bytes.NewReader(raw)))
+		require.Equal(t, http.StatusOK, rec.Code)
+	}
+	hasAll := func() bool { return tm.catalog.Current().Version == 9 && tm.listing().ContentRevision == 12 }
+
+	tm.catalogAt.advance(time.Now())
+	tm.listingAt.advance(time.Now())
+	ask()
+	require.Never(t, hasAll, 100*time.Millisecond, 10*time.Millisecond, "the store tells it soon")
+	tm.catalogAt.reset()
+	ask()
+	require.Eventually(t, hasAll, 10*time.Second, time.Millisecond)
+}
+
 // Guards against refusals between two confirmations while the store answers, if RevokeBound
 // is well below ApplyBound.
 func TestConfigurationIsConfirmedWithinTheRevokeBound(t *testing.T) {
--- a/io/member/roster.go
+++ b/io/member/roster.go
@@ -710,6 +710,17 @@
 	return out
 }
 
+// getMember returns the entry of another member, and false if it is not known.
+func (ro *roster) getMember(name string) (entry, bool) {
+	ro.mu.Lock()
+	defer ro.mu.Unlock()
+	kn := ro.members[name]
+	if kn == nil || name == ro.self.Name {
+		return entry{}, false
+	}
+	return kn.entry, true
+}
+
 // anyOther returns another member drawn at random, and false if there is none.
 func (ro *roster) anyOther() (entry, bool) {
 	others := ro.others()
--- a/io/member/watch.go
+++ b/io/member/watch.go
@@ -272,17 +272,22 @@
 	sw.run(ctx)
 }
 
-// confirmSlack is how much longer than planned the time between two confirmations of the listing may
-// be without a doubt that the store was there all the while.
+// confirmSlack is how much longer than planned the time between two confirmations may be without a
+// doubt that the store was there all the while.
 const confirmSlack = 500 * time.Millisecond
 
+// maxConfirmGap returns the longest time between two confirmations by a store that is there.
+func (me *Member) maxConfirmGap() time.Duration {
+	return me.settings.ApplyBound*watchPercent/100 + listingPause + confirmSlack
+}
+
 // recordListingConfirmed records that the listing was that of the store at the time given.
 func (me *Member) recordListingConfirmed(at time.Time) {
 	me.listingAt.advance(at)
 	me.followedSince.setOnce(me.deps.Now())
 	me.mu.Lock()
 	defer me.mu.Unlock()
-	me.confirmed = me.confirmed.WithConfirmation(at, me.settings.ApplyBound*watchPercent/100+listingPause+confirmSlack)
+	me.confirmed = me.confirmed.WithConfirmation(at, me.maxConfirmGap())
 }
 
 // confirmedListing returns since when the store has confirmed the listing.
