State what forgotten upstreams may hold as an input of a change

Cause: passed them to core/elect as one more ended replica, so that a group that waits because of them logged "a replica did not answer" with none that did not. Change: elect.Change.Forgotten, with an obstacle of its own.

--- a/core/elect/proof.go
+++ b/core/elect/proof.go
@@ -51,9 +51,18 @@
 	Preference int
 }
 
+// Unknown is what upstreams may have received that are not among the replicas of a change. The zero
+// value says that there is no such upstream.
+type Unknown struct {
+	// Bound is the position up to which writes may have been acknowledged because of them. It is used
+	// unless IsUnbounded is true.
+	Bound       posn.Position
+	IsUnbounded bool
+}
+
 // Change is the state of a change of leader. Its members are the leader that is to be
 // replaced and all upstreams through which that leader may have acknowledged writes:
-// listed or not, leaving or not.
+// listed or not, leaving or not. Those that nobody remembers are bounded by Forgotten.
 type Change struct {
 	// Term is the term of the leader that is to be replaced.
 	Term uint64
@@ -63,6 +72,8 @@
 	IsStopped bool
 	// Replicas holds the other members.
 	Replicas []Replica
+	// Forgotten is of the upstreams that have left and that nobody knows who takes part in the change.
+	Forgotten Unknown
 	// Known holds the positions that instances have seen or reported as a success, as of Now.
 	// Those of terms before Term are not used.
 	Known []Holding
@@ -85,6 +96,9 @@
 	// not answer, or ended without a known bound. It is no obstacle once it has been silent
 	// for long and those that hold more than the others may end soon.
 	Unanswered Obstacle = "a replica that may hold acknowledged writes did not answer"
+	// ForgottenUnbounded means that writes may have been acknowledged because of an upstream that has left
+	// and that nobody knows any more, and the leader has reported no bound since.
+	ForgottenUnbounded Obstacle = "an upstream that nobody remembers may have held acknowledged writes"
 	// Unfrozen means that a replica may still receive the log of a leader that has not
 	// stopped.
 	Unfrozen Obstacle = "a replica is not frozen although the leader has not stopped"
@@ -236,8 +250,10 @@
 // a replica, the log of the leader of Term is among those that answered or is gone, so that
 // ended replicas held nothing else.
 func (ch Change) receivedByReplicas() (posn.Position, Obstacle) {
-	var highest posn.Position
-	isMissing := false
+	highest, missing := ch.Forgotten.Bound, NoObstacle
+	if ch.isForgottenMissing() {
+		missing = ForgottenUnbounded
+	}
 	for _, re := range ch.receivers() {
 		switch {
 		case re.Answered && re.IsFrozen:
@@ -248,17 +264,23 @@
 			highest = highest.Max(re.Bound)
 		case re.HasEnded && ch.hasLeaderResigned():
 		case re.HasEnded || re.IsLongSilent:
-			isMissing = true
+			missing = Unanswered
 		default:
 			return highest, Unanswered
 		}
 	}
-	if isMissing && !ch.isOnlyHeldByEnding(highest) {
-		return highest, Unanswered
+	if missing != NoObstacle && !ch.isOnlyHeldByEnding(highest) {
+		return highest, missing
 	}
 	return highest, NoObstacle
 }
 
+// isForgottenMissing reports whether a forgotten upstream may have held more than those that answer. The
+// log of a leader that answers as a replica goes beyond it.
+func (ch Change) isForgottenMissing() bool {
+	return ch.Forgotten.IsUnbounded && !ch.hasLeaderResigned()
+}
+
 // IsOnlyHeldByEnding reports whether all that hold the highest position which a replica has
 // received may end soon.
 func (ch Change) IsOnlyHeldByEnding() bool {
@@ -291,8 +313,9 @@
 // whose log would be lost otherwise.
 func (ch Change) IsLastResort() bool {
 	_, obstacle := ch.receivedByReplicas()
-	return obstacle == NoObstacle && slices.ContainsFunc(ch.receivers(), func(re Replica) bool {
+	isMissing := ch.isForgottenMissing() || slices.ContainsFunc(ch.receivers(), func(re Replica) bool {
 		isKnown := re.Answered || (re.HasEnded && (re.HasBound || ch.hasLeaderResigned()))
 		return !isKnown
 	})
+	return obstacle == NoObstacle && isMissing
 }
--- a/core/elect/proof_test.go
+++ b/core/elect/proof_test.go
@@ -238,6 +238,34 @@
 	requireCandidates(t, ch, "a", "old")
 }
 
+// LOST, a coordinator that had just started took the replicas that it knew for all that had received the
+// log of a silent leader.
+func TestForgottenReplicaCountsUpToItsBound(t *testing.T) {
+	ch := silent(frozen("a", 20), frozen("b", 18))
+	ch.Forgotten = Unknown{IsUnbounded: true}
+	requireObstacle(t, ForgottenUnbounded, ch)
+	ch.Forgotten = Unknown{Bound: at(1, 21)}
+	requireObstacle(t, Behind, ch)
+	ch.Forgotten.Bound = at(1, 20)
+	requireCandidates(t, ch, "a")
+
+	// The log of the leader goes beyond that of any other.
+	resigned := silent(frozen("a", 20))
+	resigned.Leader, resigned.Forgotten = frozen("old", 21), Unknown{IsUnbounded: true}
+	requireCandidates(t, resigned, "old")
+	ch = stopped(20, received("a", 20))
+	ch.Forgotten = Unknown{IsUnbounded: true}
+	requireCandidates(t, ch, "a", "old")
+
+	// Waiting would lose what is known.
+	soon := leaving(frozen("soon", 21))
+	soon.EndsSoon = true
+	urgent := silent(frozen("a", 20), soon)
+	urgent.Forgotten = Unknown{IsUnbounded: true}
+	requireCandidates(t, urgent, "soon")
+	require.True(t, urgent.IsLastResort())
+}
+
 func TestConcurrentChangeIsAnObstacle(t *testing.T) {
 	newer := received("b", 20)
 	newer.Term = 2
--- a/core/elect/random_test.go
+++ b/core/elect/random_test.go
@@ -313,13 +313,12 @@
 	sc.note("the coordinator starts")
 }
 
-// unknownReplica stands for the upstreams that had left before the coordinator started.
-func (sc *schedule) unknownReplica() Replica {
-	re := Replica{HasEnded: true}
-	if sc.forgottenBound != nil {
-		re.Bound, re.HasBound = *sc.forgottenBound, true
+// left returns what the coordinator knows of the upstreams that had left before it started.
+func (sc *schedule) left() Unknown {
+	if sc.forgottenBound == nil {
+		return Unknown{IsUnbounded: true}
 	}
-	return re
+	return Unknown{Bound: *sc.forgottenBound}
 }
 
 // isKnown reports whether the coordinator knows an upstream.
@@ -376,7 +375,7 @@
 		}
 		sc.happen(1)
 	}
-	ch.Replicas = append(ch.Replicas, sc.unknownReplica())
+	ch.Forgotten = sc.left()
 	return ch
 }
 
@@ -545,7 +544,7 @@
 			ch.Replicas = append(ch.Replicas, sc.report(up))
 		}
 	}
-	ch.Replicas = append(ch.Replicas, sc.unknownReplica())
+	ch.Forgotten = sc.left()
 	ch.Known = sc.known.OfGroup("g")
 	candidates, obstacle := ch.Candidates()
 	if obstacle != NoObstacle {
--- a/io/member/change_state.go
+++ b/io/member/change_state.go
@@ -34,23 +34,24 @@
 			ID: fr.upstream.ID, Incarnation: fr.upstream.Incarnation, HasEnded: true, Bound: fr.bound, HasBound: fr.hasBound || isLeaderGone,
 		})
 	}
-	bound, hasBound := mo.boundOfForgotten(ch)
-	out.Replicas = append(out.Replicas, elect.Replica{HasEnded: true, Bound: bound, HasBound: hasBound || isLeaderGone})
+	if !isLeaderGone {
+		out.Forgotten = mo.forgotten(ch)
+	}
 	return out
 }
 
-// boundOfForgotten returns the bound of the upstreams that have left and are known to nobody who takes
-// part in the change, and false if there is none. Each member's bound holds beside the former upstreams
-// that it knows, all of which are part of the change, so the lowest one does.
-func (mo *monitor) boundOfForgotten(ch *leaderChange) (posn.Position, bool) {
+// forgotten returns what upstreams may have received that have left and are known to nobody who takes
+// part in the change. Each member's bound holds beside the former upstreams that it knows, all of which
+// are part of the change, so the lowest one does.
+func (mo *monitor) forgotten(ch *leaderChange) elect.Unknown {
 	bounds := slices.Clone(ch.forgotten)
 	if own, ok := mo.me.formers.boundOfForgotten(mo.name); ok {
 		bounds = append(bounds, own)
 	}
 	if len(bounds) == 0 {
-		return posn.Position{}, false
+		return elect.Unknown{IsUnbounded: true}
 	}
-	return slices.MinFunc(bounds, posn.Position.Compare), true
+	return elect.Unknown{Bound: slices.MinFunc(bounds, posn.Position.Compare)}
 }
 
 // stateIfStopped returns the change as it would be if the leader stopped now. Successes that were
--- a/io/member/former.go
+++ b/io/member/former.go
@@ -185,6 +185,13 @@
 	return bound, ok
 }
 
+// IsBounded reports whether a bound is known of what upstreams of the group may have received that had
+// left before this member started. Until then it replaces no leader that it cannot stop.
+func (me *Member) IsBounded(name string) bool {
+	_, ok := me.formers.boundOfForgotten(name)
+	return ok
+}
+
 // wireFormer is a former upstream on the wire between members.
 type wireFormer struct {
 	Upstream group.Upstream `json:"upstream"`
--- a/io/member/former_test.go
+++ b/io/member/former_test.go
@@ -123,10 +123,10 @@
 	}
 	observe := func(sa evid.Sample) { tm.formers.observe("g", sa, tm.followedSince.load(), tm.now) }
 	observe(evid.Sample{Asked: tm.now, Position: at(4)})
-	require.Equal(t, elect.Unanswered, obstacle(), "it may leave unseen until the listing is followed")
+	require.Equal(t, elect.ForgottenUnbounded, obstacle(), "it may leave unseen until the listing is followed")
 	tm.pass(time.Second)
 	observe(evid.Sample{Asked: tm.followedSince.load(), Position: at(9)})
-	require.Equal(t, elect.Unanswered, obstacle(), "the sample may be older")
+	require.Equal(t, elect.ForgottenUnbounded, obstacle(), "the sample may be older")
 	observe(evid.Sample{Asked: tm.now.Add(time.Millisecond), Position: at(9)})
 	require.Equal(t, elect.Behind, obstacle())
 	observe(evid.Sample{Asked: tm.now.Add(time.Second), Position: at(12)})
