Keep a digest of large session values on pooled connections

The same values are not set again, any others begin with a DISCARD. Values of 256 bytes and more are hashed once, when they are set. Result: TestConnectionKeepsNoLargeValues fails before (4,099 bytes kept) and passes; the random test of the values draws large ones too.

--- a/core/vars/vars.go
+++ b/core/vars/vars.go
@@ -5,13 +5,47 @@
 import (
 	"crypto/sha256"
 	"encoding/hex"
+	"io"
 	"slices"
+	"strconv"
 
 	"banyanspring/core/stmt"
 )
 
 // variable is a session variable.
-type variable struct{ name, value string }
+type variable struct {
+	name, value string
+	// sum identifies a long name and value; it is zero for short ones.
+	sum digest
+}
+
+// digest is a SHA-256 hash. Callers choose what is hashed, so that nobody must be able to make two
+// variables of the same hash.
+type digest [sha256.Size]byte
+
+// longBytes is the size of a name and value from which on they are hashed once, when they are set.
+const longBytes = 256
+
+func newVariable(name, val string) variable {
+	va := variable{name: name, value: val}
+	if len(name)+len(val) >= longBytes {
+		va.sum = va.hash()
+	}
+	return va
+}
+
+func (va variable) set() stmt.Statement {
+	return stmt.Statement{Kind: stmt.Set, Name: va.name, Argument: va.value}
+}
+
+// hash returns the digest of the name and the value, with the length of the name in front.
+func (va variable) hash() digest {
+	ha := sha256.New()
+	_, _ = io.WriteString(ha, strconv.Itoa(len(va.name))+" ")
+	_, _ = io.WriteString(ha, va.name)
+	_, _ = io.WriteString(ha, va.value)
+	return digest(ha.Sum(nil))
+}
 
 // Prepared is a prepared statement.
 type Prepared struct {
@@ -54,9 +88,9 @@
 	next := slices.Clone(se.variables)
 	pos, found := slices.BinarySearchFunc(next, name, func(va variable, key string) int { return compare(va.name, key) })
 	if found {
-		next[pos].value = val
+		next[pos] = newVariable(name, val)
 	} else {
-		next = slices.Insert(next, pos, variable{name: name, value: val})
+		next = slices.Insert(next, pos, newVariable(name, val))
 	}
 	se.variables = next
 	return se
@@ -71,6 +105,28 @@
 	return out
 }
 
+// hasLargeVariables reports whether the names and values take more than maxHeldBytes.
+func (se Session) hasLargeVariables() bool {
+	sum := 0
+	for _, va := range se.variables {
+		sum += len(va.name) + len(va.value)
+	}
+	return sum > maxHeldBytes
+}
+
+// hashVariables returns the digest of all variables.
+func (se Session) hashVariables() digest {
+	ha := sha256.New()
+	for _, va := range se.variables {
+		sum := va.sum
+		if sum == (digest{}) {
+			sum = va.hash()
+		}
+		_, _ = ha.Write(sum[:])
+	}
+	return digest(ha.Sum(nil))
+}
+
 // Bytes returns the size of the names, values and texts.
 func (se Session) Bytes() int {
 	sum := 0
@@ -95,7 +151,7 @@
 		if pos > 0 && list[pos-2] >= list[pos] {
 			return Session{}, false
 		}
-		se.variables = append(se.variables, variable{name: list[pos], value: list[pos+1]})
+		se.variables = append(se.variables, newVariable(list[pos], list[pos+1]))
 	}
 	return se, true
 }
@@ -153,11 +209,19 @@
 // upstream.
 const maxPrepared = 200
 
+// maxHeldBytes bounds the names and values that are kept for one connection. They outlive the session
+// and are outside its budget. Of larger ones, only the digest is kept.
+const maxHeldBytes = 4096
+
 // Conn records the variables and prepared statements that one upstream connection
 // has. It is not safe for concurrent use.
 type Conn struct {
-	// variables is ordered by name.
+	// variables is ordered by name; nil if they are large.
 	variables []variable
+	// isLarge is true if the connection has variables with more than maxHeldBytes, the digest of which
+	// is large.
+	isLarge bool
+	large   digest
 	// prepared holds the pooled names of the prepared statements.
 	prepared map[string]struct{}
 }
@@ -166,10 +230,12 @@
 // records them as executed: unless all are sent and succeed, the connection must be
 // closed.
 func (co *Conn) Align(se Session) []stmt.Statement {
+	if se.hasLargeVariables() {
+		return co.alignLarge(se)
+	}
 	var out []stmt.Statement
 	if !co.isCoveredBy(se) || len(co.prepared) > maxPrepared {
-		out = append(out, stmt.Statement{Kind: stmt.Discard})
-		co.variables, co.prepared = nil, nil
+		out = append(out, co.discard())
 	}
 	pos := 0
 	for _, va := range se.variables {
@@ -179,16 +245,42 @@
 				continue
 			}
 		}
-		out = append(out, stmt.Statement{Kind: stmt.Set, Name: va.name, Argument: va.value})
+		out = append(out, va.set())
 	}
 	co.variables = se.variables
 	return out
 }
 
+// alignLarge is Align for variables of which only the digest is kept.
+func (co *Conn) alignLarge(se Session) []stmt.Statement {
+	sum := se.hashVariables()
+	if co.isLarge && co.large == sum && len(co.prepared) <= maxPrepared {
+		return nil
+	}
+	var out []stmt.Statement
+	if co.isLarge || len(co.variables) > 0 || len(co.prepared) > maxPrepared {
+		out = append(out, co.discard())
+	}
+	for _, va := range se.variables {
+		out = append(out, va.set())
+	}
+	co.variables, co.isLarge, co.large = nil, true, sum
+	return out
+}
+
+// discard returns the statement that resets the connection, and records it as executed.
+func (co *Conn) discard() stmt.Statement {
+	*co = Conn{}
+	return stmt.Statement{Kind: stmt.Discard}
+}
+
 // isCoveredBy reports whether the session sets each variable that the connection
 // has. If not, Align must discard them all, since the platform's protocol has no
 // statement that unsets a single variable.
 func (co *Conn) isCoveredBy(se Session) bool {
+	if co.isLarge {
+		return false
+	}
 	pos := 0
 	for _, va := range co.variables {
 		for pos < len(se.variables) && se.variables[pos].name < va.name {
--- a/core/vars/vars_test.go
+++ b/core/vars/vars_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/hex"
+	"strings"
 	"testing"
 
 	"github.com/stretchr/testify/require"
@@ -51,7 +52,7 @@
 			want := map[string]string{}
 			for range rapid.IntRange(0, 4).Draw(rt, "values") {
 				name := rapid.SampledFrom([]string{"a", "b", "c"}).Draw(rt, "name")
-				val := rapid.SampledFrom([]string{"1", "2"}).Draw(rt, "value")
+				val := rapid.SampledFrom([]string{"1", "2", strings.Repeat("3", maxHeldBytes/2), strings.Repeat("4", maxHeldBytes)}).Draw(rt, "value")
 				se = se.WithValue(name, val)
 				want[name] = val
 			}
@@ -70,6 +71,25 @@
 	})
 }
 
+// A process exceeded its memory by the values of sessions that had ended, which its connections kept.
+func TestConnectionKeepsNoLargeValues(t *testing.T) {
+	var co Conn
+	small := Session{}.WithValue("a", "1")
+	se := small.WithValue("b", strings.Repeat("x", maxHeldBytes))
+	kept := func() int { return Session{variables: co.variables}.Bytes() }
+	require.Len(t, co.Align(se), 2)
+	require.Zero(t, kept())
+	require.Empty(t, co.Align(se), "the same values are not set again")
+	other := small.WithValue("b", strings.Repeat("y", maxHeldBytes))
+	require.Equal(t, stmt.Discard, co.Align(other)[0].Kind)
+	require.Equal(t, []stmt.Statement{{Kind: stmt.Discard}, {Kind: stmt.Set, Name: "a", Argument: "1"}}, co.Align(small))
+	require.Equal(t, 2, kept())
+	// A name and a value that are joined differently are others.
+	long := strings.Repeat("z", maxHeldBytes)
+	co.Align(Session{}.WithValue("a"+long, "b"))
+	require.NotEmpty(t, co.Align(Session{}.WithValue("a", long+"b")))
+}
+
 func TestSessionsDoNotShareState(t *testing.T) {
 	base := Session{}.WithPrepared(Prepared{Name: "p", Text: "one"})
 	changed := base.WithPrepared(Prepared{Name: "p", Text: "two"})
